--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,65 @@
+// Package event numbers the log events. docs/events.md is their catalogue; a test
+// holds the two equal.
+//
+// # Usage
+//
+//	events.Log(event.TermWon, event.Field{Name: "epoch", Value: 3})
+package event
+
+// Number identifies a log event.
+type Number int
+
+// Events of a node's life, configuration, terms, calls and the platform.
+const (
+	NodeStarted       Number = 100
+	NodeStopping      Number = 101
+	NodeStopped       Number = 102
+	NodeStopCut       Number = 103
+	UpstreamReady     Number = 110
+	UpstreamDraining  Number = 111
+	UpstreamDown      Number = 112
+	UpstreamSuspected Number = 113
+	ConfigInstalled   Number = 200
+	ConfigRejected    Number = 201
+	TermWon           Number = 300
+	TermLost          Number = 301
+	TermHandedOver    Number = 302
+	TermHandoverLost  Number = 303
+	LeaderUnreachable Number = 310
+	PlatformFailed    Number = 400
+	AnnounceFailed    Number = 401
+	InvariantBroken   Number = 900
+)
+
+// Descriptions tell what each event means, by number.
+var Descriptions = map[Number]string{
+	NodeStarted:       "node started",
+	NodeStopping:      "graceful shutdown began",
+	NodeStopped:       "node stopped; no call was cut",
+	NodeStopCut:       "stop limit reached; calls in flight were cut",
+	UpstreamReady:     "upstream is ready",
+	UpstreamDraining:  "upstream drains; new calls go elsewhere",
+	UpstreamDown:      "upstream does not accept connections",
+	UpstreamSuspected: "upstream died with calls in flight; their fingerprints are suspects",
+	ConfigInstalled:   "configuration installed",
+	ConfigRejected:    "configuration object is malformed and was not installed",
+	TermWon:           "this node leads its failure domain",
+	TermLost:          "this node no longer leads its failure domain",
+	TermHandedOver:    "the term was handed over to the next leader",
+	TermHandoverLost:  "the handover was not confirmed; the next leader starts without records",
+	LeaderUnreachable: "the leader does not answer heartbeats",
+	PlatformFailed:    "the platform does not answer",
+	AnnounceFailed:    "the announcement could not be written; it is tried again",
+	InvariantBroken:   "an invariant is broken",
+}
+
+// Field is a named value of an event.
+type Field struct {
+	Name  string
+	Value any
+}
+
+// Log takes events.
+type Log interface {
+	Log(n Number, fields ...Field)
+}
--- /dev/null
+++ b/core/invar/invar.go
@@ -0,0 +1,55 @@
+// Package invar asserts invariants inside the running program. A violation is
+// counted and logged in production; in tests the handler ends the test.
+//
+// # Usage
+//
+//	checks := invar.New(func(v invar.Violation) { log(v) })
+//	checks.That(stock >= 0, invar.TokensConserved, "stock %d", stock)
+package invar
+
+import (
+	"fmt"
+	"sync/atomic"
+)
+
+// Name identifies an invariant. Its value is the number of its log event.
+type Name int
+
+// Invariants.
+const (
+	TokensConserved Name = 900 + iota
+	ShedOrder
+	RunOnce
+	OneHolder
+	ConfigMonotonic
+	BudgetBounded
+	KeyHidden
+	AnswerMatched
+)
+
+// Violation is a broken invariant.
+type Violation struct {
+	Name   Name
+	Detail string
+}
+
+// Checker counts violations and reports them.
+type Checker struct {
+	count   atomic.Int64
+	handler func(Violation)
+}
+
+// New returns a checker that calls handler for each violation.
+func New(handler func(Violation)) *Checker { return &Checker{handler: handler} }
+
+// That reports a violation unless ok holds.
+func (c *Checker) That(ok bool, name Name, format string, args ...any) {
+	if ok {
+		return
+	}
+	c.count.Add(1)
+	c.handler(Violation{Name: name, Detail: fmt.Sprintf(format, args...)})
+}
+
+// Count returns the number of violations so far.
+func (c *Checker) Count() int64 { return c.count.Load() }
--- /dev/null
+++ b/core/node/beat.go
@@ -0,0 +1,339 @@
+package node
+
+import (
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/quota"
+	"wagtailyoke/core/route"
+	"wagtailyoke/core/term"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Heartbeat tuning.
+const (
+	beatTimeout = 400 * time.Millisecond
+	// urgentGap is the least time between heartbeats that are sent for tokens.
+	urgentGap = 4 * time.Millisecond
+	// leaderLostAfter is the silence after which a node turns to another leader.
+	leaderLostAfter = 700 * time.Millisecond
+)
+
+// beats is a node's side of the heartbeats.
+type beats struct {
+	n *Node
+
+	mu      sync.Mutex
+	leaders map[world.DomainID]*wire.Leader
+	stocks  map[world.DomainID]*quota.Stock
+	// ack is the stamp of the own leader's last reply, of epoch ackEpoch.
+	ack      int64
+	ackEpoch uint64
+	// ownHeard is when the own leader last answered.
+	ownHeard  time.Duration
+	lastSent  time.Duration
+	scheduled bool
+	lost      bool
+	seed      int
+}
+
+func (b *beats) init(n *Node) {
+	b.n = n
+	b.leaders = map[world.DomainID]*wire.Leader{}
+	b.stocks = map[world.DomainID]*quota.Stock{}
+	b.ownHeard = n.Clock.Now()
+	n.gate.SetStocks(b.stock(n.Info.Domain))
+}
+
+// bookBits leaves room for books within one life of a node.
+const bookBits = 20
+
+// stock returns the stock of a failure domain's tokens.
+func (b *beats) stock(domain world.DomainID) *quota.Stock {
+	s := b.stocks[domain]
+	if s == nil {
+		s = quota.NewStock(b.n.Clock, b.n.Options.TokenLease, b.n.Info.Incarnation<<bookBits|1)
+		b.stocks[domain] = s
+	}
+	return s
+}
+
+// leaderOf returns the known leader of a failure domain.
+func (b *beats) leaderOf(domain world.DomainID) (*wire.Leader, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.leaders[domain]
+	return l, ok && l.GetNode() != ""
+}
+
+// epochOf returns the newest epoch seen of a failure domain.
+func (b *beats) epochOf(domain world.DomainID) world.Epoch {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return world.Epoch(b.leaders[domain].GetEpoch())
+}
+
+// learn takes in leaders; a higher epoch wins.
+func (b *beats) learn(leaders ...*wire.Leader) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range leaders {
+		domain := world.DomainID(l.GetDomain())
+		if known := b.leaders[domain]; known == nil || l.GetEpoch() > known.GetEpoch() || known.GetNode() == "" && l.GetEpoch() == known.GetEpoch() {
+			b.leaders[domain] = l
+		}
+	}
+}
+
+// forgetLeader drops a leader that says that it is none, but keeps its epoch.
+func (b *beats) forgetLeader(domain world.DomainID, epoch world.Epoch) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known := b.leaders[domain]; known != nil && world.Epoch(known.GetEpoch()) <= epoch {
+		b.leaders[domain] = &wire.Leader{Domain: known.GetDomain(), Epoch: known.GetEpoch()}
+	}
+}
+
+func (b *beats) all() []*wire.Leader {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make([]*wire.Leader, 0, len(b.leaders))
+	for _, l := range b.leaders {
+		if l.GetNode() != "" {
+			all = append(all, l)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].GetDomain() < all[j].GetDomain() })
+	return all
+}
+
+// beatSoon sends a heartbeat for tokens, at most one in urgentGap.
+func (n *Node) beatSoon() {
+	b := &n.beats
+	b.mu.Lock()
+	if b.scheduled {
+		b.mu.Unlock()
+		return
+	}
+	b.scheduled = true
+	wait := max(0, b.lastSent+urgentGap-n.Clock.Now())
+	b.mu.Unlock()
+	n.Clock.After(wait, n.beat)
+}
+
+// beat sends one heartbeat to the own leader, or to another one while the own
+// leader does not answer.
+func (n *Node) beat() {
+	b := &n.beats
+	now := n.Clock.Now()
+	b.mu.Lock()
+	b.scheduled = false
+	b.lastSent = now
+	isLost := now-b.ownHeard > leaderLostAfter
+	newlyLost := isLost && !b.lost
+	b.lost = isLost
+	b.mu.Unlock()
+	if newlyLost {
+		n.Events.Log(event.LeaderUnreachable)
+	}
+	n.beatTo(n.Info.Domain)
+	if isLost {
+		n.beatElsewhere()
+	}
+}
+
+// beatElsewhere asks another failure domain's leader for tokens and news.
+func (n *Node) beatElsewhere() {
+	for _, l := range n.beats.all() {
+		if domain := world.DomainID(l.GetDomain()); domain != n.Info.Domain {
+			n.beatTo(domain)
+		}
+	}
+	if len(n.Options.Seeds) == 0 {
+		return
+	}
+	b := &n.beats
+	b.mu.Lock()
+	b.seed = (b.seed + 1) % len(n.Options.Seeds)
+	seed := n.Options.Seeds[b.seed]
+	b.mu.Unlock()
+	n.sendBeat(seed, noDomain, true)
+}
+
+// noDomain marks a heartbeat that only asks for news: it names no grantor, so it
+// carries no book.
+const noDomain world.DomainID = ""
+
+func (n *Node) beatTo(domain world.DomainID) {
+	leader, ok := n.beats.leaderOf(domain)
+	if !ok {
+		return
+	}
+	n.sendBeat(world.Address(leader.GetPeerAddress()), domain, domain != n.Info.Domain)
+}
+
+func (n *Node) sendBeat(to world.Address, domain world.DomainID, guest bool) {
+	req, stock := n.newBeat(domain, guest)
+	sent := n.Clock.Now()
+	n.control(to, req, beatTimeout, func(m proto.Message, err error) {
+		reply, ok := m.(*wire.BeatReply)
+		if err != nil || !ok {
+			return
+		}
+		n.beatAnswered(domain, to, stock, reply, sent)
+	})
+}
+
+func (n *Node) newBeat(domain world.DomainID, guest bool) (*wire.BeatRequest, *quota.Stock) {
+	b := &n.beats
+	b.mu.Lock()
+	req := &wire.BeatRequest{Epoch: b.ackEpoch, Ack: b.ack, Guest: guest}
+	var stock *quota.Stock
+	if domain != noDomain {
+		stock = b.stock(domain)
+	}
+	b.mu.Unlock()
+	req.Node = n.nodeInfo()
+	req.ConfigVersion = uint64(n.configVersion())
+	req.Marks = n.roster.Marks()
+	req.Quarantines = n.quarantine.Export()
+	if stock != nil {
+		req.Book, req.Usages = stock.Report(n.gate.Waiting)
+	}
+	return req, stock
+}
+
+func (n *Node) beatAnswered(domain world.DomainID, from world.Address, stock *quota.Stock, reply *wire.BeatReply, sent time.Duration) {
+	n.beats.learn(reply.GetLeaders()...)
+	n.noteConfig(reply, from, sent)
+	n.quarantine.Merge(reply.GetQuarantines())
+	if !reply.GetIsLeader() {
+		n.beats.forgetLeader(domain, world.Epoch(reply.GetEpoch()))
+		return
+	}
+	n.applyRoster(reply)
+	if stock == nil {
+		return
+	}
+	stock.Credit(reply, sent)
+	if domain == n.Info.Domain {
+		n.ownLeaderAnswered(reply)
+	}
+	n.useStocks()
+	n.gate.Serve()
+	if n.gate.HasWaiting() {
+		n.beatSoon()
+	}
+}
+
+func (n *Node) ownLeaderAnswered(reply *wire.BeatReply) {
+	b := &n.beats
+	n.term.Heard(world.Epoch(reply.GetEpoch()))
+	b.mu.Lock()
+	b.ownHeard = n.Clock.Now()
+	if reply.GetEpoch() > b.ackEpoch || reply.GetEpoch() == b.ackEpoch && reply.GetStamp() > b.ack {
+		b.ack, b.ackEpoch = reply.GetStamp(), reply.GetEpoch()
+	}
+	b.mu.Unlock()
+}
+
+// useStocks makes the gate spend from all stocks whose lease runs, own one first.
+func (n *Node) useStocks() {
+	b := &n.beats
+	b.mu.Lock()
+	stocks := []*quota.Stock{b.stock(n.Info.Domain)}
+	domains := make([]world.DomainID, 0, len(b.stocks))
+	for domain := range b.stocks {
+		domains = append(domains, domain)
+	}
+	sort.Slice(domains, func(i, j int) bool { return domains[i] < domains[j] })
+	for _, domain := range domains {
+		if domain != n.Info.Domain && b.stocks[domain].IsCurrent() {
+			stocks = append(stocks, b.stocks[domain])
+		}
+	}
+	b.mu.Unlock()
+	n.gate.SetStocks(stocks...)
+}
+
+func (n *Node) applyRoster(reply *wire.BeatReply) {
+	if n.roster.Apply(reply.GetDeltas()) {
+		n.updatePicker()
+	}
+}
+
+func (n *Node) updatePicker() {
+	nodes := n.roster.Nodes()
+	endpoints := make([]route.Endpoint, 0, len(nodes))
+	for _, info := range nodes {
+		isReady := info.GetState() == wire.NodeState_NODE_STATE_READY
+		endpoints = append(endpoints, route.Endpoint{
+			Node:        world.NodeID(info.GetName()),
+			Domain:      world.DomainID(info.GetDomain()),
+			Service:     world.ServiceID(info.GetService()),
+			Peer:        world.Address(info.GetPeerAddress()),
+			Public:      world.Address(info.GetPublicAddress()),
+			IsReady:     isReady,
+			Incarnation: info.GetIncarnation(),
+		})
+	}
+	n.picker.Update(endpoints)
+}
+
+// control sends a control message, or serves it here if it is for this node.
+func (n *Node) control(to world.Address, req proto.Message, timeout time.Duration, done func(proto.Message, error)) {
+	if to == n.Info.Peer {
+		n.HandleControl(req, func(m proto.Message) { done(m, nil) })
+		return
+	}
+	n.Links.Control(to, req, timeout, done)
+}
+
+// Testify lets the term question its members.
+func (n *Node) Testify(to world.Address, req *wire.TestifyRequest, done func(*wire.TestifyReply, error)) {
+	n.control(to, req, n.Options.Term.Round, func(m proto.Message, err error) {
+		reply, ok := m.(*wire.TestifyReply)
+		if !ok && err == nil {
+			err = ErrBroken
+		}
+		done(reply, err)
+	})
+}
+
+// HandleControl serves a control message. done is called once.
+func (n *Node) HandleControl(req proto.Message, done func(proto.Message)) {
+	switch m := req.(type) {
+	case *wire.BeatRequest:
+		done(n.handleBeat(m))
+	case *wire.ConfigRequest:
+		done(n.handleConfig())
+	case *wire.TestifyRequest:
+		done(n.term.Testimony(m))
+	case *wire.BeginRequest:
+		n.handleBegin(m, done)
+	case *wire.FinishRequest:
+		done(n.handleFinish(m))
+	case *wire.HandoverRequest:
+		n.handleHandover(m, done)
+	}
+}
+
+// TermSeen takes in the leader that the platform names.
+func (n *Node) TermSeen(r term.Record) { n.beats.learn(leaderOf(r)) }
+
+func leaderOf(r term.Record) *wire.Leader {
+	return &wire.Leader{
+		Domain:      string(r.Domain),
+		Epoch:       uint64(r.Epoch),
+		Node:        string(r.Holder.Node),
+		PeerAddress: string(r.Holder.Peer),
+	}
+}
+
+func encodeInfo(info *wire.NodeInfo) ([]byte, error) { return json.Marshal(info) }
--- /dev/null
+++ b/core/node/config.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/intent"
+	"wagtailyoke/core/invar"
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Configuration spread.
+const (
+	configRetry   = time.Second
+	configTimeout = time.Second
+)
+
+func (n *Node) configVersion() world.ConfigVersion {
+	if cfg := n.config.Load(); cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
+
+func (n *Node) configAge() time.Duration {
+	return n.Clock.Now() - time.Duration(n.configFresh.Load())
+}
+
+// fetchConfig reads the configuration from the platform until there is one. A
+// node that has a leader gets it with the heartbeats.
+func (n *Node) fetchConfig() {
+	if n.configVersion() > 0 {
+		return
+	}
+	n.Platform.Get(intent.ObjectKey, func(o store.Object, err error) {
+		if err == nil {
+			n.installObject(o)
+			return
+		}
+		n.Clock.After(configRetry, n.fetchConfig)
+	})
+}
+
+// watchConfig waits for newer versions while this node leads.
+func (n *Node) watchConfig(epoch world.Epoch) {
+	r := n.role.Load()
+	if r == nil || r.epoch != epoch {
+		return
+	}
+	sent := n.Clock.Now()
+	n.Platform.Watch(intent.ObjectKey, uint64(n.configVersion()), func(o store.Object, err error) {
+		if err != nil {
+			n.Clock.After(tickPeriod, func() { n.watchConfig(epoch) })
+			return
+		}
+		n.noteFresh(sent)
+		n.installObject(o)
+		n.watchConfig(epoch)
+	})
+}
+
+func (n *Node) noteFresh(at time.Duration) {
+	for {
+		old := n.configFresh.Load()
+		if int64(at) <= old || n.configFresh.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+func (n *Node) installObject(o store.Object) {
+	n.install(world.ConfigVersion(o.Version), o.Value)
+}
+
+// install puts a configuration in force if it is newer and well formed.
+func (n *Node) install(version world.ConfigVersion, value []byte) {
+	if version <= n.configVersion() {
+		return
+	}
+	cfg, err := intent.Decode(version, value)
+	if err != nil {
+		n.Events.Log(event.ConfigRejected, event.Field{Name: "version", Value: version}, event.Field{Name: "error", Value: err.Error()})
+		return
+	}
+	for {
+		old := n.config.Load()
+		if old != nil && old.Version >= version {
+			return
+		}
+		if n.config.CompareAndSwap(old, cfg) {
+			break
+		}
+	}
+	n.Checks.That(n.configVersion() >= version, invar.ConfigMonotonic, "version %d fell to %d", version, n.configVersion())
+	n.Events.Log(event.ConfigInstalled, event.Field{Name: "version", Value: version})
+	if r := n.role.Load(); r != nil {
+		r.ledger.Install(cfg, 0)
+	}
+	n.beatSoon()
+}
+
+// noteConfig follows a heartbeat's answer: whoever is behind fetches.
+func (n *Node) noteConfig(reply *wire.BeatReply, from world.Address, sent time.Duration) {
+	theirs := world.ConfigVersion(reply.GetConfigVersion())
+	if theirs > n.configVersion() {
+		n.fetchFrom(from)
+		return
+	}
+	if theirs == n.configVersion() {
+		n.noteFresh(sent - time.Duration(reply.GetConfigAgeMs())*time.Millisecond)
+	}
+}
+
+// noteRemoteConfig follows a heartbeat from a node that is ahead.
+func (n *Node) noteRemoteConfig(req *wire.BeatRequest) {
+	if world.ConfigVersion(req.GetConfigVersion()) > n.configVersion() {
+		n.fetchFrom(world.Address(req.GetNode().GetPeerAddress()))
+	}
+}
+
+func (n *Node) fetchFrom(from world.Address) {
+	n.control(from, &wire.ConfigRequest{}, configTimeout, func(m proto.Message, err error) {
+		reply, ok := m.(*wire.ConfigReply)
+		if err == nil && ok {
+			n.install(world.ConfigVersion(reply.GetVersion()), reply.GetValue())
+		}
+	})
+}
+
+func (n *Node) handleConfig() *wire.ConfigReply {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return &wire.ConfigReply{}
+	}
+	value, err := cfg.Encode()
+	if err != nil {
+		return &wire.ConfigReply{}
+	}
+	return &wire.ConfigReply{Version: uint64(cfg.Version), Value: value}
+}
+
+// watchdog fetches the configuration again while there is none.
+func (n *Node) watchdog() {
+	if n.configVersion() == 0 {
+		return
+	}
+	n.useStocks()
+}
--- /dev/null
+++ b/core/node/lead.go
@@ -0,0 +1,415 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/intent"
+	"wagtailyoke/core/once"
+	"wagtailyoke/core/quota"
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/term"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// role is what a node keeps while it leads its failure domain.
+type role struct {
+	epoch   world.Epoch
+	ledger  *quota.Ledger
+	records *once.Records
+
+	mu sync.Mutex
+	// confirmed is the configuration version that each other leader has in force.
+	confirmed map[world.DomainID]world.ConfigVersion
+	contacted map[world.DomainID]time.Duration
+	lastBeat  time.Duration
+	lastSweep time.Duration
+	// versions is the configuration version of each node of the failure domain.
+	versions map[world.NodeID]world.ConfigVersion
+}
+
+// Leader tuning.
+const (
+	leaderBeat = 250 * time.Millisecond
+	// borrowBeat is the time between heartbeats to leaders that lend tokens.
+	borrowBeat = 25 * time.Millisecond
+	// leaderSearch is how often the platform is asked for a leader that is silent.
+	leaderSearch = 2 * time.Second
+	sweepPeriod  = 5 * time.Second
+	// roleRetry is how often a new leader tries to read the configuration.
+	roleRetry = 500 * time.Millisecond
+)
+
+// TermWon starts the leader's role, with the newest configuration: a contract
+// older than the one that the predecessor confirmed could grant too much.
+func (n *Node) TermWon(r term.Record, handover *wire.HandoverRequest) {
+	n.Events.Log(event.TermWon, event.Field{Name: "epoch", Value: r.Epoch}, event.Field{Name: "handover", Value: handover != nil})
+	n.beats.learn(leaderOf(r))
+	n.roster.Lead(r.Epoch)
+	n.startRole(r, handover)
+}
+
+func (n *Node) startRole(r term.Record, handover *wire.HandoverRequest) {
+	n.Platform.Get(intent.ObjectKey, func(o store.Object, err error) {
+		if !n.term.IsHolding() || n.stale(r.Epoch) {
+			return
+		}
+		if err != nil {
+			n.Clock.After(roleRetry, func() { n.startRole(r, handover) })
+			return
+		}
+		n.installObject(o)
+		if n.config.Load() == nil {
+			n.Clock.After(configRetry, func() { n.startRole(r, handover) })
+			return
+		}
+		n.role.Store(n.newRole(r, handover))
+		n.watchConfig(r.Epoch)
+		n.beat()
+	})
+}
+
+func (n *Node) stale(epoch world.Epoch) bool { return n.term.Epoch() > epoch }
+
+func (n *Node) newRole(r term.Record, handover *wire.HandoverRequest) *role {
+	cfg := n.config.Load()
+	window := cfg.RecordWindow()
+	records := once.Term{Domain: n.Info.Domain, Epoch: r.Epoch}
+	isFirst := r.Epoch == 1
+	switch {
+	case handover != nil:
+		if handover.GetFreshAfterUnixMs() > 0 {
+			records.FreshAfter = time.UnixMilli(handover.GetFreshAfterUnixMs())
+		}
+		records.UnsettledUntil = n.Clock.Now() + time.Duration(handover.GetUnsettledMs())*time.Millisecond
+	case !isFirst:
+		records.FreshAfter = n.Clock.Wall().Add(once.ClockMargin)
+		records.UnsettledUntil = n.Clock.Now() + window
+	}
+	created := &role{
+		epoch:     r.Epoch,
+		ledger:    quota.NewLedger(n.Clock, n.Checks, n.Info.Domain, n.Options.TokenLease, isFirst || handover != nil),
+		records:   once.NewRecords(n.Clock, records, window),
+		confirmed: map[world.DomainID]world.ConfigVersion{},
+		contacted: map[world.DomainID]time.Duration{},
+		versions:  map[world.NodeID]world.ConfigVersion{},
+		lastBeat:  n.Clock.Now() - leaderBeat,
+	}
+	for _, domain := range cfg.Domains {
+		if domain != n.Info.Domain {
+			created.ledger.AddLender(domain, uint64(r.Epoch)<<bookBits|1)
+		}
+	}
+	created.ledger.Install(cfg, 0)
+	if handover != nil {
+		created.records.Load(handover, intent.MaxRouteTimeout)
+		created.ledger.Load(handover)
+	}
+	return created
+}
+
+// TermLost ends the leader's role.
+func (n *Node) TermLost(epoch world.Epoch) {
+	n.Events.Log(event.TermLost, event.Field{Name: "epoch", Value: epoch})
+	n.role.Store(nil)
+}
+
+// validRole returns the role if the term is valid at this moment.
+func (n *Node) validRole() *role {
+	r := n.role.Load()
+	if r == nil || !n.term.IsValid() {
+		return nil
+	}
+	return r
+}
+
+// lead does the leader's upkeep.
+func (n *Node) lead() {
+	r := n.validRole()
+	if r == nil {
+		return
+	}
+	n.beats.learn(&wire.Leader{
+		Domain:      string(n.Info.Domain),
+		Epoch:       uint64(r.epoch),
+		Node:        string(n.Info.Name),
+		PeerAddress: string(n.Info.Peer),
+	})
+	r.ledger.Confirm(n.leastConfirmed(r))
+	n.roster.Sweep()
+	n.term.SetMembers(n.members())
+	n.updatePicker()
+	now := n.Clock.Now()
+	if now-r.lastSweep > sweepPeriod {
+		r.lastSweep = now
+		r.records.Sweep()
+	}
+	n.beatLeaders(r, now)
+}
+
+// members are the nodes of this failure domain that the roster lists.
+func (n *Node) members() []term.Member {
+	var members []term.Member
+	for _, info := range n.roster.Nodes() {
+		if info.GetDomain() == string(n.Info.Domain) {
+			members = append(members, term.Member{Node: world.NodeID(info.GetName()), Peer: world.Address(info.GetPeerAddress())})
+		}
+	}
+	if len(members) == 0 {
+		members = []term.Member{{Node: n.Info.Name, Peer: n.Info.Peer}}
+	}
+	return members
+}
+
+// beatLeaders exchanges news with the leaders of the other failure domains.
+func (n *Node) beatLeaders(r *role, now time.Duration) {
+	r.mu.Lock()
+	isDue := now-r.lastBeat >= leaderBeat
+	if isDue {
+		r.lastBeat = now
+	}
+	r.mu.Unlock()
+	if !isDue {
+		return
+	}
+	for _, domain := range n.otherDomains() {
+		n.beatLeader(r, domain)
+		n.searchLeader(r, domain, now)
+	}
+}
+
+func (n *Node) otherDomains() []world.DomainID {
+	var others []world.DomainID
+	for _, domain := range n.config.Load().Domains {
+		if domain != n.Info.Domain {
+			others = append(others, domain)
+		}
+	}
+	return others
+}
+
+// borrow asks the other leaders for tokens that nodes wait for.
+func (n *Node) borrow(r *role) {
+	now := n.Clock.Now()
+	r.mu.Lock()
+	if now-r.lastBeat < borrowBeat {
+		r.mu.Unlock()
+		return
+	}
+	r.lastBeat = now
+	r.mu.Unlock()
+	for _, domain := range n.otherDomains() {
+		n.beatLeader(r, domain)
+	}
+}
+
+func (n *Node) beatLeader(r *role, domain world.DomainID) {
+	leader, ok := n.beats.leaderOf(domain)
+	if !ok {
+		return
+	}
+	req := &wire.BeatRequest{
+		Node:          n.nodeInfo(),
+		Guest:         true,
+		ConfigVersion: uint64(n.configVersion()),
+		Marks:         n.roster.Marks(),
+		Quarantines:   n.quarantine.Export(),
+	}
+	req.Node.Name = leaderBook(n.Info.Domain)
+	req.Book, req.Usages = r.ledger.Borrow(domain, len(n.otherDomains()))
+	sent := n.Clock.Now()
+	to := world.Address(leader.GetPeerAddress())
+	n.control(to, req, beatTimeout, func(m proto.Message, err error) {
+		reply, ok := m.(*wire.BeatReply)
+		if err != nil || !ok || n.role.Load() != r {
+			return
+		}
+		n.leaderAnswered(r, domain, to, reply, sent)
+	})
+}
+
+// leaderBook names a leader as a grantee of another leader.
+func leaderBook(domain world.DomainID) string { return "leader:" + string(domain) }
+
+func (n *Node) leaderAnswered(r *role, domain world.DomainID, from world.Address, reply *wire.BeatReply, sent time.Duration) {
+	n.beats.learn(reply.GetLeaders()...)
+	n.noteConfig(reply, from, sent)
+	n.quarantine.Merge(reply.GetQuarantines())
+	if !reply.GetIsLeader() {
+		n.beats.forgetLeader(domain, world.Epoch(reply.GetEpoch()))
+		return
+	}
+	n.applyRoster(reply)
+	r.ledger.CreditLoan(domain, reply, sent)
+	r.mu.Lock()
+	r.contacted[domain] = n.Clock.Now()
+	r.mu.Unlock()
+	r.noteConfirmed(domain, world.ConfigVersion(reply.GetConfigVersion()))
+}
+
+// noteConfirmed notes a leader's configuration version.
+func (r *role) noteConfirmed(domain world.DomainID, version world.ConfigVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmed[domain] = max(r.confirmed[domain], version)
+}
+
+// leastConfirmed is the version that every leader has in force.
+func (n *Node) leastConfirmed(r *role) world.ConfigVersion {
+	least := n.configVersion()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range n.otherDomains() {
+		least = min(least, r.confirmed[other])
+	}
+	return least
+}
+
+// searchLeader asks the platform for the leader of a silent failure domain.
+func (n *Node) searchLeader(r *role, domain world.DomainID, now time.Duration) {
+	r.mu.Lock()
+	isSilent := now-r.contacted[domain] >= leaderSearch
+	if isSilent {
+		r.contacted[domain] = now
+	}
+	r.mu.Unlock()
+	if !isSilent {
+		return
+	}
+	n.Platform.Get(term.ObjectKey(domain), func(o store.Object, err error) {
+		if err != nil {
+			return
+		}
+		if record, err := term.ParseRecord(o.Value); err == nil {
+			n.beats.learn(leaderOf(record))
+		}
+	})
+}
+
+// handleBeat serves a heartbeat of a node or of another leader.
+func (n *Node) handleBeat(req *wire.BeatRequest) *wire.BeatReply {
+	reply := &wire.BeatReply{
+		Leaders:       n.beats.all(),
+		ConfigVersion: uint64(n.configVersion()),
+		ConfigAgeMs:   n.configAge().Milliseconds(),
+		Epoch:         uint64(n.beats.epochOf(n.Info.Domain)),
+	}
+	n.quarantine.Merge(req.GetQuarantines())
+	n.noteRemoteConfig(req)
+	r := n.validRole()
+	if r == nil {
+		return reply
+	}
+	if !req.GetGuest() {
+		n.noteMember(r, req)
+	}
+	n.noteLeader(r, req)
+	reply.IsLeader = true
+	reply.Epoch = uint64(r.epoch)
+	reply.Stamp = int64(n.Clock.Now())
+	reply.Quarantines = n.quarantine.Export()
+	reply.Deltas = n.roster.Deltas(req.GetMarks())
+	isLeader := req.GetNode().GetName() == leaderBook(world.DomainID(req.GetNode().GetDomain()))
+	r.ledger.Serve(req.GetNode().GetName(), isLeader, req.GetBook(), req.GetUsages(), reply)
+	if r.ledger.IsShort() {
+		n.borrow(r)
+	}
+	return reply
+}
+
+// noteMember takes in a heartbeat of a node of this failure domain.
+func (n *Node) noteMember(r *role, req *wire.BeatRequest) {
+	info := req.GetNode()
+	if info.GetDomain() != string(n.Info.Domain) {
+		return
+	}
+	n.roster.Upsert(info)
+	if world.Epoch(req.GetEpoch()) == r.epoch {
+		n.term.Contact(world.NodeID(info.GetName()), time.Duration(req.GetAck()))
+	}
+	r.mu.Lock()
+	r.versions[world.NodeID(info.GetName())] = world.ConfigVersion(req.GetConfigVersion())
+	r.mu.Unlock()
+}
+
+// noteLeader takes in a heartbeat of another failure domain's leader.
+func (n *Node) noteLeader(r *role, req *wire.BeatRequest) {
+	domain := world.DomainID(req.GetNode().GetDomain())
+	if req.GetNode().GetName() == leaderBook(domain) && domain != n.Info.Domain {
+		r.noteConfirmed(domain, world.ConfigVersion(req.GetConfigVersion()))
+	}
+}
+
+func (n *Node) handleBegin(req *wire.BeginRequest, done func(proto.Message)) {
+	r := n.validRole()
+	if r == nil {
+		done(&wire.BeginReply{Verdict: wire.Verdict_VERDICT_NOT_LEADER, Epoch: uint64(n.beats.epochOf(n.Info.Domain))})
+		return
+	}
+	r.records.Begin(req, func(reply *wire.BeginReply) { done(reply) })
+}
+
+func (n *Node) handleFinish(req *wire.FinishRequest) *wire.FinishReply {
+	r := n.validRole()
+	if r == nil {
+		return &wire.FinishReply{}
+	}
+	r.records.Finish(req)
+	return &wire.FinishReply{Stored: true}
+}
+
+// handOver passes the term to another ready node of the failure domain.
+func (n *Node) handOver(done func()) {
+	r := n.validRole()
+	successor := n.successor()
+	if r == nil || successor == nil {
+		done()
+		return
+	}
+	version, epoch, ok := n.term.Release()
+	if !ok {
+		done()
+		return
+	}
+	req := &wire.HandoverRequest{Domain: string(n.Info.Domain), Epoch: uint64(epoch), TermVersion: version}
+	r.records.Save(req)
+	r.ledger.Save(req)
+	n.role.Store(nil)
+	const handoverTimeout = 2 * time.Second
+	n.control(world.Address(successor.GetPeerAddress()), req, handoverTimeout, func(m proto.Message, err error) {
+		reply, ok := m.(*wire.HandoverReply)
+		if err == nil && ok && reply.GetAccepted() {
+			n.Events.Log(event.TermHandedOver, event.Field{Name: "to", Value: successor.GetName()})
+		} else {
+			n.Events.Log(event.TermHandoverLost, event.Field{Name: "to", Value: successor.GetName()}, event.Field{Name: "error", Value: fmt.Sprint(err)})
+		}
+		done()
+	})
+}
+
+// successor is the first other node of the failure domain that does not leave.
+func (n *Node) successor() *wire.NodeInfo {
+	for _, info := range n.roster.Nodes() {
+		isOther := info.GetDomain() == string(n.Info.Domain) && info.GetName() != string(n.Info.Name)
+		if isOther && info.GetState() != wire.NodeState_NODE_STATE_DRAINING {
+			return info
+		}
+	}
+	return nil
+}
+
+func (n *Node) handleHandover(req *wire.HandoverRequest, done func(proto.Message)) {
+	n.mu.Lock()
+	stopping := n.stopping
+	n.mu.Unlock()
+	if stopping || n.term.IsHolding() {
+		done(&wire.HandoverReply{})
+		return
+	}
+	n.term.Accept(req, func(won bool) { done(&wire.HandoverReply{Accepted: won}) })
+}
--- /dev/null
+++ b/core/node/node.go
@@ -0,0 +1,355 @@
+// Package node puts a whole node together from the parts in core/. It holds no
+// socket and no clock: a process gives it real ones, a test virtual ones.
+//
+// # Usage
+//
+//	n := node.New(node.Dependencies{Info: info, Clock: clock, Links: links, ...})
+//	n.Start()
+//	n.ServePublic(incoming, func(r *world.Reply) { ... })
+//	n.Stop(func() { ... })
+//
+// A call comes in at ServePublic or ServeEgress (serve.go), is carried by a
+// flight over its attempts (flight.go) and ends at the node of the chosen endpoint
+// (target.go). Heartbeats are in beat.go, the leader's role in lead.go.
+package node
+
+import (
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/admit"
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/intent"
+	"wagtailyoke/core/invar"
+	"wagtailyoke/core/once"
+	"wagtailyoke/core/quota"
+	"wagtailyoke/core/retry"
+	"wagtailyoke/core/roster"
+	"wagtailyoke/core/route"
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/term"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Errors that Links and Upstream report.
+var (
+	// ErrNotSent means that no byte of the call left.
+	ErrNotSent = errors.New("call was not sent")
+	// ErrBroken means that the connection failed after the call was sent.
+	ErrBroken = errors.New("connection broke before the whole answer came")
+)
+
+// Links carries calls and control messages to other nodes. Each done is called at
+// most once; a message may be lost, late or repeated.
+type Links interface {
+	// Forward sends a call to the node at an address. cancel gives it up.
+	Forward(to world.Address, c *world.Call, done func(*world.Reply, error)) (cancel func())
+	// Control sends a control message.
+	Control(to world.Address, req proto.Message, timeout time.Duration, done func(proto.Message, error))
+}
+
+// Upstream is the service process on this VM.
+type Upstream interface {
+	// Do runs a call. token is what the upstream shows with its child calls.
+	Do(c *world.Call, token string, done func(*world.Reply, error)) (cancel func())
+	// Probe tells whether the upstream accepts connections.
+	Probe(done func(alive bool))
+}
+
+// Metrics counts refusals and retries by reason.
+type Metrics interface {
+	Served(route world.RouteID)
+	Refused(code world.Code)
+	Retried(reason world.Code)
+}
+
+// Info describes this node.
+type Info struct {
+	Name        world.NodeID
+	Domain      world.DomainID
+	Service     world.ServiceID
+	Public      world.Address
+	Peer        world.Address
+	Ops         world.Address
+	Incarnation uint64
+}
+
+// Options are the settings of the decisions. The zero value takes the defaults.
+type Options struct {
+	Limit admit.LimitOptions
+	Queue admit.QueueOptions
+	Term  term.Options
+	// Beat is the time between heartbeats.
+	Beat time.Duration
+	// TokenLease is how long granted tokens live without contact.
+	TokenLease time.Duration
+	// TokenWait is how long a call waits for a token.
+	TokenWait time.Duration
+	// Seeds are peer addresses to ask when the platform does not answer.
+	Seeds []world.Address
+	// StopLimit bounds a graceful shutdown.
+	StopLimit time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Term == (term.Options{}) {
+		o.Term = term.DefaultOptions()
+	}
+	setDefault(&o.Beat, 250*time.Millisecond)
+	setDefault(&o.TokenLease, time.Second)
+	setDefault(&o.TokenWait, 20*time.Millisecond)
+	setDefault(&o.StopLimit, 30*time.Second)
+	return o
+}
+
+func setDefault(v *time.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Dependencies are what a node is built from.
+type Dependencies struct {
+	Info     Info
+	Options  Options
+	Clock    timer.Service
+	Random   *rand.Rand
+	Tokens   func() string
+	Links    Links
+	Upstream Upstream
+	Platform store.Platform
+	Metrics  Metrics
+	Events   event.Log
+	Checks   *invar.Checker
+}
+
+// Node is one node.
+type Node struct {
+	Dependencies
+
+	queue      *admit.Queue
+	limiter    *admit.Limiter
+	pressure   *admit.Pressure
+	picker     *route.Picker
+	gate       *quota.Gate
+	quarantine *once.Quarantine
+	roster     *roster.Roster
+	term       *term.Term
+	buckets    *buckets
+	config     atomic.Pointer[intent.Config]
+	// configFresh is the instant at which the configuration was last known to be
+	// the newest.
+	configFresh atomic.Int64
+
+	randomMu sync.Mutex
+
+	mu            sync.Mutex
+	upstreamState wire.NodeState
+	// generation counts the upstream's lives.
+	generation uint64
+	inFlight   map[*run]bool
+	tokens     map[string]*run
+	flights    int
+	stopping   bool
+	stopped    func()
+	stops      []timer.Stop
+
+	beats beats
+	role  atomic.Pointer[role]
+}
+
+// New builds a node. It does nothing until Start.
+func New(d Dependencies) *Node {
+	d.Options = d.Options.withDefaults()
+	n := &Node{
+		Dependencies: d,
+		inFlight:     map[*run]bool{},
+		tokens:       map[string]*run{},
+		buckets:      &buckets{byService: map[world.ServiceID]*retry.Bucket{}},
+	}
+	n.limiter = admit.NewLimiter(d.Clock, d.Options.Limit)
+	n.queue = admit.NewQueue(d.Clock, n.limiter, d.Checks, d.Options.Queue)
+	n.pressure = admit.NewPressure(d.Clock)
+	n.picker = route.NewPicker(d.Clock, rand.New(rand.NewSource(d.Random.Int63())), d.Info.Domain)
+	n.gate = quota.NewGate(d.Clock, d.Options.TokenWait, n.beatSoon)
+	n.quarantine = once.NewQuarantine(d.Clock)
+	n.roster = roster.New(d.Clock, d.Info.Domain)
+	self := term.Self{
+		Member:      term.Member{Node: d.Info.Name, Peer: d.Info.Peer},
+		Domain:      d.Info.Domain,
+		Incarnation: d.Info.Incarnation,
+	}
+	n.term = term.New(d.Clock, d.Platform, n, self, d.Options.Term, n)
+	n.beats.init(n)
+	return n
+}
+
+// tickPeriod is the resolution of terms and of the leader's upkeep.
+const tickPeriod = 100 * time.Millisecond
+
+// Start begins heartbeats and announces the node.
+func (n *Node) Start() {
+	n.Events.Log(event.NodeStarted, event.Field{Name: "domain", Value: n.Info.Domain}, event.Field{Name: "service", Value: n.Info.Service})
+	n.stops = append(n.stops,
+		timer.Every(n.Clock, tickPeriod, n.tick),
+		timer.Every(n.Clock, n.Options.Beat, n.beat),
+	)
+	n.announce()
+	n.fetchConfig()
+	n.tick()
+}
+
+func (n *Node) tick() {
+	n.term.Tick()
+	n.lead()
+	n.watchdog()
+}
+
+// UpstreamAnnounced takes in what the upstream says about itself.
+func (n *Node) UpstreamAnnounced(state wire.NodeState) {
+	n.mu.Lock()
+	old := n.upstreamState
+	n.upstreamState = state
+	restarted := old != wire.NodeState_NODE_STATE_READY && state == wire.NodeState_NODE_STATE_READY
+	n.mu.Unlock()
+	if old == state {
+		return
+	}
+	if restarted {
+		n.limiter.Reset()
+		n.Events.Log(event.UpstreamReady)
+	}
+	if state == wire.NodeState_NODE_STATE_DRAINING {
+		n.Events.Log(event.UpstreamDraining)
+	}
+	n.beatSoon()
+}
+
+// state is what this node tells others about itself.
+func (n *Node) state() wire.NodeState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopping {
+		return wire.NodeState_NODE_STATE_DRAINING
+	}
+	return n.upstreamState
+}
+
+func (n *Node) nodeInfo() *wire.NodeInfo {
+	return &wire.NodeInfo{
+		Name:          string(n.Info.Name),
+		Domain:        string(n.Info.Domain),
+		Service:       string(n.Info.Service),
+		PublicAddress: string(n.Info.Public),
+		PeerAddress:   string(n.Info.Peer),
+		OpsAddress:    string(n.Info.Ops),
+		State:         n.state(),
+		Incarnation:   n.Info.Incarnation,
+	}
+}
+
+func (n *Node) draw() float64 {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
+	return n.Random.Float64()
+}
+
+func (n *Node) drawID() uint64 {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
+	return n.Random.Uint64()
+}
+
+// buckets holds one retry bucket per service.
+type buckets struct {
+	mu        sync.Mutex
+	byService map[world.ServiceID]*retry.Bucket
+}
+
+func (b *buckets) of(service world.ServiceID) *retry.Bucket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bucket := b.byService[service]
+	if bucket == nil {
+		bucket = retry.NewBucket()
+		b.byService[service] = bucket
+	}
+	return bucket
+}
+
+// AnnouncementKey is the platform's key of a node's announcement.
+func AnnouncementKey(name world.NodeID) string { return "node/" + string(name) }
+
+const announceRetry = 2 * time.Second
+
+// announce writes the node's addresses for operators' commands.
+func (n *Node) announce() {
+	value, err := encodeInfo(n.nodeInfo())
+	if err != nil {
+		n.Events.Log(event.AnnounceFailed, event.Field{Name: "error", Value: err})
+		return
+	}
+	again := func() { n.Clock.After(announceRetry, n.announce) }
+	n.Platform.Get(AnnouncementKey(n.Info.Name), func(o store.Object, err error) {
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			again()
+			return
+		}
+		n.Platform.Put(AnnouncementKey(n.Info.Name), o.Version, value, func(_ uint64, err error) {
+			if err != nil {
+				n.Events.Log(event.AnnounceFailed, event.Field{Name: "error", Value: err})
+				again()
+			}
+		})
+	})
+}
+
+// stopPoll is how often a stopping node looks whether all calls have ended.
+const stopPoll = 20 * time.Millisecond
+
+// Stop shuts the node down gracefully: it leaves the roster, hands over its term,
+// lets all calls in flight finish and then calls done.
+func (n *Node) Stop(done func()) {
+	n.mu.Lock()
+	n.stopping = true
+	n.stopped = done
+	n.mu.Unlock()
+	n.Events.Log(event.NodeStopping)
+	n.beat()
+	n.handOver(func() { n.awaitIdle(n.Clock.Now() + n.Options.StopLimit) })
+}
+
+// leaveTime lets other nodes learn that this one leaves, while it still serves.
+const leaveTime = 700 * time.Millisecond
+
+func (n *Node) awaitIdle(limit time.Duration) {
+	n.Clock.After(leaveTime, func() { n.pollIdle(limit) })
+}
+
+func (n *Node) pollIdle(limit time.Duration) {
+	n.mu.Lock()
+	busy := n.flights
+	n.mu.Unlock()
+	busy += n.queue.Load()
+	if busy > 0 && n.Clock.Now() < limit {
+		n.Clock.After(stopPoll, func() { n.pollIdle(limit) })
+		return
+	}
+	if busy > 0 {
+		n.Events.Log(event.NodeStopCut, event.Field{Name: "calls", Value: busy})
+	} else {
+		n.Events.Log(event.NodeStopped)
+	}
+	for _, stop := range n.stops {
+		stop()
+	}
+	n.Platform.Delete(AnnouncementKey(n.Info.Name), func(error) {})
+	n.stopped()
+}
--- /dev/null
+++ b/core/node/serve.go
@@ -0,0 +1,259 @@
+package node
+
+import (
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"time"
+
+	"wagtailyoke/core/admit"
+	"wagtailyoke/core/intent"
+	"wagtailyoke/core/once"
+	"wagtailyoke/core/retry"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Headers of callers and upstreams.
+const (
+	// HeaderKey carries a caller's key; `Authorization: Bearer` is taken as well.
+	HeaderKey            = "X-Api-Key"
+	HeaderAuthorization  = "Authorization"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderContext carries the opaque token with which an upstream's child calls
+	// are matched to their parent.
+	HeaderContext   = "Wagtailyoke-Context"
+	HeaderRequestID = "Wagtailyoke-Request-Id"
+	// HeaderTimeout is the time left for a call, in milliseconds.
+	HeaderTimeout = "Wagtailyoke-Timeout-Ms"
+	headerPrefix  = "Wagtailyoke-"
+)
+
+const bearerPrefix = "Bearer "
+
+// maxIdempotencyKey is the longest accepted idempotency key, in bytes.
+const maxIdempotencyKey = 200
+
+// Incoming is a call as it came from a caller or an upstream.
+type Incoming struct {
+	ID      world.RequestID
+	Method  string
+	Path    string
+	Header  http.Header
+	Body    []byte
+	Timeout time.Duration
+}
+
+// ServePublic serves a caller's call. done is called once; cancel tells that the
+// caller has gone.
+func (n *Node) ServePublic(in Incoming, done func(*world.Reply)) (cancel func()) {
+	cfg := n.config.Load()
+	refusal := n.checkConfig(cfg)
+	if refusal != nil {
+		return n.refuseNow(refusal, done)
+	}
+	key := takeKey(in.Header)
+	customer, ok := cfg.CustomerOfKey(intent.Digest(key))
+	if key == "" || !ok {
+		return n.refuseNow(world.Refuse(http.StatusUnauthorized, world.CodeUnknownKey, world.RunNo, 0), done)
+	}
+	route, ok := cfg.Match(in.Method, pathOnly(in.Path))
+	if !ok || !route.Public {
+		return n.refuseNow(world.Refuse(http.StatusNotFound, world.CodeUnknownRoute, world.RunNo, 0), done)
+	}
+	idempotencyKey := in.Header.Get(HeaderIdempotencyKey)
+	if len(idempotencyKey) > maxIdempotencyKey {
+		return n.refuseNow(world.Refuse(http.StatusBadRequest, world.CodeKeyInvalid, world.RunNo, 0), done)
+	}
+	stripInternal(in.Header)
+	f := n.newFlight(in, route, customer.ID, route.Class(), retry.NewBudget(cfg.Limits.RetryBudget), done)
+	f.call.Key = idempotencyKey
+	f.call.Fingerprint = fingerprint(&f.call)
+	f.isPublic = true
+	f.startPublic()
+	return f.cancel
+}
+
+// checkConfig refuses while there is no configuration, or when its keys are too old.
+func (n *Node) checkConfig(cfg *intent.Config) *world.Reply {
+	const startDelay = time.Second
+	if cfg == nil {
+		return world.Refuse(http.StatusServiceUnavailable, world.CodeNotReady, world.RunNo, startDelay)
+	}
+	limit := time.Duration(cfg.Limits.StaleKeysMs) * time.Millisecond
+	if limit > 0 && n.Clock.Now()-time.Duration(n.configFresh.Load()) > limit {
+		return world.Refuse(http.StatusServiceUnavailable, world.CodeConfigurationOld, world.RunNo, startDelay)
+	}
+	return nil
+}
+
+func (n *Node) refuseNow(r *world.Reply, done func(*world.Reply)) func() {
+	n.Metrics.Refused(r.Code)
+	done(r)
+	return func() {}
+}
+
+// takeKey returns the caller's key and removes it from the header: no peer and no
+// upstream receives it.
+func takeKey(h http.Header) string {
+	key := h.Get(HeaderKey)
+	if key == "" {
+		key = strings.TrimPrefix(h.Get(HeaderAuthorization), bearerPrefix)
+	}
+	h.Del(HeaderKey)
+	h.Del(HeaderAuthorization)
+	return key
+}
+
+// stripInternal removes headers that only nodes may set.
+func stripInternal(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+func pathOnly(target string) string {
+	if i := strings.IndexByte(target, '?'); i >= 0 {
+		return target[:i]
+	}
+	return target
+}
+
+// fingerprint identifies calls with the same effect on an upstream.
+func fingerprint(c *world.Call) uint64 {
+	h := fnv.New64a()
+	for _, part := range []string{string(c.Customer), string(c.Route), c.Method, c.Path, c.Key} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	if c.Key == "" {
+		_, _ = h.Write(c.Body)
+	}
+	return h.Sum64()
+}
+
+func bodyDigest(c *world.Call) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(c.Method + "\x00" + c.Path + "\x00"))
+	_, _ = h.Write(c.Body)
+	return h.Sum64()
+}
+
+// ServeEgress serves a call of this VM's upstream to another service.
+func (n *Node) ServeEgress(in Incoming, done func(*world.Reply)) (cancel func()) {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return n.refuseNow(n.checkConfig(cfg), done)
+	}
+	route, ok := cfg.Match(in.Method, pathOnly(in.Path))
+	if !ok {
+		return n.refuseNow(world.Refuse(http.StatusNotFound, world.CodeUnknownRoute, world.RunNo, 0), done)
+	}
+	idempotencyKey := in.Header.Get(HeaderIdempotencyKey)
+	if len(idempotencyKey) > maxIdempotencyKey {
+		return n.refuseNow(world.Refuse(http.StatusBadRequest, world.CodeKeyInvalid, world.RunNo, 0), done)
+	}
+	parent := n.parentOf(in.Header.Get(HeaderContext))
+	takeKey(in.Header)
+	stripInternal(in.Header)
+	f := n.newEgressFlight(in, route, parent, done)
+	f.call.Key = idempotencyKey
+	f.call.Fingerprint = fingerprint(&f.call)
+	f.begin()
+	return f.cancel
+}
+
+func (n *Node) parentOf(token string) *run {
+	if token == "" {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.tokens[token]
+}
+
+// newEgressFlight inherits customer, importance, deadline and budget from the
+// parent. A call without a parent is internal.
+func (n *Node) newEgressFlight(in Incoming, route *intent.Route, parent *run, done func(*world.Reply)) *flight {
+	if parent == nil {
+		return n.newFlight(in, route, "", world.ImportanceInternal, retry.NewBudget(0), done)
+	}
+	in.ID = parent.call.ID
+	lent := parent.budget.Lend()
+	parent.childStarted()
+	f := n.newFlight(in, route, parent.call.Customer, parent.call.Importance, retry.NewBudget(lent), nil)
+	f.call.Deadline = min(f.call.Deadline, parent.call.Deadline)
+	f.done = func(r *world.Reply) {
+		parent.childEnded(r)
+		done(r)
+	}
+	return f
+}
+
+// ServePeer serves a call that another node forwards to this node's upstream.
+func (n *Node) ServePeer(c *world.Call, done func(*world.Reply)) (cancel func()) {
+	return n.admit(c, done)
+}
+
+// startPublic applies the checks that only callers' calls pass: the quarantine,
+// route pressure and the customer's rate. Pressure comes first, since a call that
+// is shed would otherwise cost its customer a token.
+func (f *flight) startPublic() {
+	n := f.n
+	if n.quarantine.Standing(f.call.Fingerprint) == once.StandingBanned {
+		f.finish(quarantined())
+		return
+	}
+	level := n.pressure.Level(f.call.Route)
+	if admit.IsShed(f.call.Importance, level, n.draw()) {
+		f.finish(world.Refuse(http.StatusServiceUnavailable, world.CodePressure, world.RunNo, n.comeBack(time.Second)))
+		return
+	}
+	n.gate.Take(f.call.Customer, func(admitted bool) {
+		if !admitted {
+			f.finish(world.Refuse(http.StatusTooManyRequests, world.CodeOverRate, world.RunNo, n.comeBack(time.Second)))
+			return
+		}
+		f.begin()
+	})
+}
+
+// quarantined is final: the request was in flight when upstreams died, so it may
+// have run.
+func quarantined() *world.Reply {
+	r := world.Refuse(http.StatusServiceUnavailable, world.CodeQuarantined, world.RunMaybe, once.QuarantineTime)
+	r.Final = true
+	return r
+}
+
+// comeBack spreads callers' returns over the second half of twice the time.
+func (n *Node) comeBack(typical time.Duration) time.Duration {
+	return typical + time.Duration(n.draw()*float64(typical))
+}
+
+// answerOf is the stored form of a reply.
+func answerOf(r *world.Reply) *wire.Answer {
+	a := &wire.Answer{Status: int32(r.Status), Body: r.Body, Code: string(r.Code), Run: uint32(r.Run)}
+	for _, name := range sortedNames(r.Header) {
+		for _, value := range r.Header[name] {
+			a.Header = append(a.Header, &wire.HeaderField{Name: name, Value: value})
+		}
+	}
+	return a
+}
+
+func replyOf(a *wire.Answer) *world.Reply {
+	r := &world.Reply{
+		Status: int(a.GetStatus()),
+		Body:   a.GetBody(),
+		Code:   world.Code(a.GetCode()),
+		Run:    world.Run(a.GetRun()),
+		Header: http.Header{},
+	}
+	for _, field := range a.GetHeader() {
+		r.Header.Add(field.GetName(), field.GetValue())
+	}
+	return r
+}
--- /dev/null
+++ b/core/node/target.go
@@ -0,0 +1,331 @@
+package node
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wagtailyoke/core/admit"
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/once"
+	"wagtailyoke/core/retry"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// run is one call at the node of its endpoint: in the queue, then in the upstream.
+type run struct {
+	n      *Node
+	call   *world.Call
+	done   func(*world.Reply)
+	ticket *admit.Ticket
+	budget *retry.Budget
+	token  string
+	// isSuspect means that the quarantine lets this call run alone.
+	isSuspect  bool
+	generation uint64
+
+	mu       sync.Mutex
+	over     bool
+	started  bool
+	startAt  time.Duration
+	cancelUp func()
+	deadline timer.Stop
+	// children counts child calls in flight; childTime is the time with at least one.
+	children    int
+	childSince  time.Duration
+	childTime   time.Duration
+	childLevel  float64
+	childFailed bool
+}
+
+// admit takes a call to this node's upstream.
+func (n *Node) admit(c *world.Call, done func(*world.Reply)) (cancel func()) {
+	if refusal := n.checkTarget(c); refusal != nil {
+		n.Metrics.Refused(refusal.Code)
+		refusal.BudgetLeft = c.Budget
+		n.fill(refusal)
+		done(refusal)
+		return func() {}
+	}
+	r := &run{n: n, call: c, done: done, budget: retry.NewBudget(c.Budget)}
+	if n.quarantine.Standing(c.Fingerprint) == once.StandingSuspect {
+		if !n.quarantine.Acquire(c.Fingerprint) {
+			refusal := world.Refuse(http.StatusServiceUnavailable, world.CodeQuarantined, world.RunNo, n.comeBack(time.Second))
+			refusal.Final = true
+			r.finish(refusal)
+			return func() {}
+		}
+		r.isSuspect = true
+	}
+	r.ticket = &admit.Ticket{
+		Importance: c.Importance,
+		Customer:   c.Customer,
+		Weight:     n.weightOf(c.Customer),
+		Deadline:   c.Deadline,
+		Start:      r.start,
+		Shed:       r.shed,
+	}
+	n.queue.Enter(r.ticket)
+	return r.cancel
+}
+
+func (n *Node) weightOf(customer world.CustomerID) float64 {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return 1
+	}
+	c, ok := cfg.Customer(customer)
+	if !ok {
+		return 1
+	}
+	return c.Contract.Rate
+}
+
+func (n *Node) checkTarget(c *world.Call) *world.Reply {
+	if n.quarantine.Standing(c.Fingerprint) == once.StandingBanned {
+		return quarantined()
+	}
+	if n.state() != wire.NodeState_NODE_STATE_READY {
+		r := world.Refuse(http.StatusServiceUnavailable, world.CodeDraining, world.RunNo, time.Second)
+		r.Draining = true
+		return r
+	}
+	if c.HasKey() && c.Home != "" && c.Epoch < n.beats.epochOf(c.Home) {
+		return world.Refuse(http.StatusServiceUnavailable, world.CodeStaleEpoch, world.RunNo, time.Second)
+	}
+	return nil
+}
+
+// fill adds what every reply tells about this node.
+func (n *Node) fill(r *world.Reply) {
+	r.Level = max(r.Level, n.queue.Level())
+	r.Load = n.queue.Load()
+	r.Limit = n.limiter.Limit()
+	r.Draining = r.Draining || n.state() != wire.NodeState_NODE_STATE_READY
+}
+
+func (r *run) shed(code world.Code) {
+	r.finish(world.Refuse(http.StatusServiceUnavailable, code, world.RunNo, r.n.comeBack(time.Second)))
+}
+
+// start hands the call to the upstream.
+func (r *run) start() {
+	n := r.n
+	left := r.call.Deadline - n.Clock.Now()
+	if left <= 0 {
+		r.leave(admit.Sample{Ignore: true})
+		r.finish(world.Refuse(http.StatusGatewayTimeout, world.CodeDeadline, world.RunNo, n.comeBack(time.Second)))
+		return
+	}
+	r.token = n.Tokens()
+	n.mu.Lock()
+	r.generation = n.generation
+	n.tokens[r.token] = r
+	n.inFlight[r] = true
+	n.mu.Unlock()
+	r.mu.Lock()
+	if r.over {
+		// The caller left between the queue and this point.
+		r.mu.Unlock()
+		n.forget(r)
+		r.leave(admit.Sample{Ignore: true})
+		return
+	}
+	r.started = true
+	r.startAt = n.Clock.Now()
+	r.deadline = n.Clock.After(left, r.expire)
+	r.mu.Unlock()
+	cancel := n.Upstream.Do(r.call, r.token, r.answered)
+	r.mu.Lock()
+	r.cancelUp = cancel
+	isOver := r.over
+	r.mu.Unlock()
+	if isOver {
+		cancel()
+	}
+}
+
+func (n *Node) forget(r *run) {
+	n.mu.Lock()
+	delete(n.tokens, r.token)
+	delete(n.inFlight, r)
+	n.mu.Unlock()
+}
+
+func (r *run) leave(s admit.Sample) {
+	r.n.queue.Leave(r.ticket, s)
+}
+
+func (r *run) expire() {
+	r.end(world.Refuse(http.StatusGatewayTimeout, world.CodeDeadline, world.RunMaybe, r.n.comeBack(time.Second)), admit.Sample{Ignore: true}, false)
+}
+
+// cancel gives the call up because nobody waits for it.
+func (r *run) cancel() {
+	if r.n.queue.Cancel(r.ticket) {
+		r.finish(world.Refuse(http.StatusServiceUnavailable, world.CodeCancelled, world.RunNo, 0))
+		return
+	}
+	r.end(world.Refuse(http.StatusServiceUnavailable, world.CodeCancelled, world.RunMaybe, 0), admit.Sample{Ignore: true}, false)
+}
+
+// answered takes in the upstream's answer.
+func (r *run) answered(reply *world.Reply, err error) {
+	if err != nil {
+		r.n.upstreamBroke(r, err)
+		r.end(r.brokenReply(err), admit.Sample{Ignore: true}, false)
+		return
+	}
+	sample := admit.Sample{Route: r.call.Route, Own: r.ownTime()}
+	if reply.Status == http.StatusServiceUnavailable && reply.Header.Get("Retry-After") != "" {
+		sample.Shed = true
+		shed := world.Refuse(http.StatusServiceUnavailable, world.CodeUpstreamShed, world.RunMaybe, r.n.comeBack(time.Second))
+		r.end(shed, sample, true)
+		return
+	}
+	r.end(reply, sample, true)
+}
+
+// brokenReply distinguishes a connection that was never made from one that broke.
+func (r *run) brokenReply(err error) *world.Reply {
+	if errors.Is(err, ErrNotSent) {
+		return world.Refuse(http.StatusBadGateway, world.CodeUnreachable, world.RunNo, time.Second)
+	}
+	return world.Refuse(http.StatusBadGateway, world.CodeUpstreamFailed, world.RunMaybe, time.Second)
+}
+
+// ownTime is the time in the upstream less the time of its child calls.
+func (r *run) ownTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.n.Clock.Now()
+	children := r.childTime
+	if r.children > 0 {
+		children += now - r.childSince
+	}
+	return now - r.startAt - children
+}
+
+// end gives back the slot of a started call and answers it.
+func (r *run) end(reply *world.Reply, s admit.Sample, completed bool) {
+	r.mu.Lock()
+	if r.over || !r.started {
+		r.over = true
+		r.mu.Unlock()
+		return
+	}
+	r.over = true
+	cancel, stop := r.cancelUp, r.deadline
+	reply.Final = reply.Final || r.childFailed && !reply.IsSuccess()
+	reply.Level = max(reply.Level, r.childLevel)
+	r.mu.Unlock()
+	stop()
+	if cancel != nil && !completed {
+		cancel()
+	}
+	r.n.forget(r)
+	if r.isSuspect {
+		r.n.quarantine.Release(r.call.Fingerprint, completed)
+	}
+	r.leave(s)
+	r.deliver(reply)
+}
+
+// finish answers a call that never started.
+func (r *run) finish(reply *world.Reply) {
+	r.mu.Lock()
+	if r.over {
+		r.mu.Unlock()
+		return
+	}
+	r.over = true
+	r.mu.Unlock()
+	if r.isSuspect {
+		r.n.quarantine.Release(r.call.Fingerprint, false)
+	}
+	r.deliver(reply)
+}
+
+func (r *run) deliver(reply *world.Reply) {
+	if reply.IsRefusal() {
+		r.n.Metrics.Refused(reply.Code)
+	}
+	reply.BudgetLeft = r.budget.Close()
+	r.n.fill(reply)
+	r.done(reply)
+}
+
+func (r *run) childStarted() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.children == 0 {
+		r.childSince = r.n.Clock.Now()
+	}
+	r.children++
+}
+
+func (r *run) childEnded(reply *world.Reply) {
+	r.budget.Return(reply.BudgetLeft)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.children--
+	if r.children == 0 {
+		r.childTime += r.n.Clock.Now() - r.childSince
+	}
+	r.childLevel = max(r.childLevel, reply.Level)
+	if !reply.IsSuccess() {
+		r.childFailed = true
+	}
+}
+
+// upstreamBroke looks whether the upstream died when a connection to it broke.
+func (n *Node) upstreamBroke(r *run, err error) {
+	n.mu.Lock()
+	if r.generation != n.generation {
+		n.mu.Unlock()
+		return
+	}
+	n.generation++
+	var fingerprints []uint64
+	if errors.Is(err, ErrBroken) {
+		for other := range n.inFlight {
+			fingerprints = append(fingerprints, other.call.Fingerprint)
+		}
+	}
+	n.mu.Unlock()
+	n.Upstream.Probe(func(alive bool) {
+		if !alive {
+			n.upstreamDied(fingerprints)
+		}
+	})
+}
+
+// probePeriod is how often a dead upstream is probed.
+const probePeriod = 250 * time.Millisecond
+
+func (n *Node) upstreamDied(fingerprints []uint64) {
+	n.Events.Log(event.UpstreamDown, event.Field{Name: "calls", Value: len(fingerprints)})
+	if len(fingerprints) > 0 {
+		n.Events.Log(event.UpstreamSuspected, event.Field{Name: "calls", Value: len(fingerprints)})
+		n.quarantine.Crashed(n.drawID(), fingerprints)
+	}
+	n.UpstreamAnnounced(wire.NodeState_NODE_STATE_STARTING)
+	n.Clock.After(probePeriod, n.probeUpstream)
+}
+
+func (n *Node) probeUpstream() {
+	if n.state() != wire.NodeState_NODE_STATE_STARTING {
+		return
+	}
+	n.Upstream.Probe(func(alive bool) {
+		if alive {
+			n.UpstreamAnnounced(wire.NodeState_NODE_STATE_READY)
+			return
+		}
+		n.Clock.After(probePeriod, n.probeUpstream)
+	})
+}
--- /dev/null
+++ b/core/quota/gate.go
@@ -0,0 +1,137 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"wagtailyoke/core/shard"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
+)
+
+// maxWaiting bounds the calls of one customer that wait for a token at one node.
+const maxWaiting = 64
+
+// Gate admits calls at one node: from its stocks, or after a short wait for the
+// tokens that it then asks for.
+type Gate struct {
+	clock timer.Service
+	wait  time.Duration
+	ask   func()
+
+	mu      sync.RWMutex
+	stocks  []*Stock
+	waiters *shard.Map[world.CustomerID, []*waiter]
+}
+
+type waiter struct {
+	done func(bool)
+	stop timer.Stop
+}
+
+// NewGate returns a gate without stocks. ask is called when a call finds no token.
+func NewGate(clock timer.Service, wait time.Duration, ask func()) *Gate {
+	return &Gate{clock: clock, wait: wait, ask: ask, waiters: shard.New[world.CustomerID, []*waiter]()}
+}
+
+// SetStocks sets the stocks to spend from, in order of preference.
+func (g *Gate) SetStocks(stocks ...*Stock) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stocks = stocks
+}
+
+// Take calls done with true once the customer has a token, or with false.
+func (g *Gate) Take(customer world.CustomerID, done func(bool)) {
+	if g.take(customer, (*Stock).Take) {
+		done(true)
+		return
+	}
+	w := &waiter{done: done}
+	if !g.enqueue(customer, w) {
+		done(false)
+		return
+	}
+	g.ask()
+}
+
+func (g *Gate) take(customer world.CustomerID, from func(*Stock, world.CustomerID) bool) bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, s := range g.stocks {
+		if from(s, customer) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) enqueue(customer world.CustomerID, w *waiter) bool {
+	queued := false
+	g.waiters.With(customer, func(entries map[world.CustomerID][]*waiter) {
+		if len(entries[customer]) >= maxWaiting {
+			return
+		}
+		w.stop = g.clock.After(g.wait, func() { g.expire(customer, w) })
+		entries[customer] = append(entries[customer], w)
+		queued = true
+	})
+	return queued
+}
+
+func (g *Gate) expire(customer world.CustomerID, w *waiter) {
+	if g.remove(customer, w) {
+		w.done(false)
+	}
+}
+
+func (g *Gate) remove(customer world.CustomerID, w *waiter) bool {
+	found := false
+	g.waiters.With(customer, func(entries map[world.CustomerID][]*waiter) {
+		for i, candidate := range entries[customer] {
+			if candidate == w {
+				entries[customer] = append(entries[customer][:i:i], entries[customer][i+1:]...)
+				found = true
+				return
+			}
+		}
+	})
+	return found
+}
+
+// Waiting returns the number of calls of a customer that wait for a token.
+func (g *Gate) Waiting(customer world.CustomerID) int {
+	n := 0
+	g.waiters.With(customer, func(entries map[world.CustomerID][]*waiter) { n = len(entries[customer]) })
+	return n
+}
+
+// Serve hands new tokens to waiting calls, oldest first.
+func (g *Gate) Serve() {
+	var served []*waiter
+	g.waiters.Each(func(entries map[world.CustomerID][]*waiter) {
+		for _, customer := range sortedCustomers(entries) {
+			queue := entries[customer]
+			for len(queue) > 0 && g.take(customer, (*Stock).TakeWaiting) {
+				served = append(served, queue[0])
+				queue = queue[1:]
+			}
+			entries[customer] = queue
+		}
+	})
+	for _, w := range served {
+		w.stop()
+		w.done(true)
+	}
+}
+
+// HasWaiting reports whether any call waits for a token.
+func (g *Gate) HasWaiting() bool {
+	found := false
+	g.waiters.Each(func(entries map[world.CustomerID][]*waiter) {
+		for _, queue := range entries {
+			found = found || len(queue) > 0
+		}
+	})
+	return found
+}
--- /dev/null
+++ b/core/term/term.go
@@ -0,0 +1,498 @@
+// Package term decides which node leads a failure domain. The holder of a term is
+// written in one platform object per failure domain.
+//
+// The holder keeps its term while the platform confirms it or while a majority of
+// the members listed in the object answers it. A candidate takes the term over
+// only when the object has stood unchanged for the take-over time, and when so
+// many members have not heard from the holder that the rest is no majority. The
+// two majorities share a member, so both cannot be true at once, on these
+// conditions:
+//
+//  1. Evidence of contact counts from the moment its request was sent.
+//  2. A lapse is sticky: it is looked for before each operation and before new
+//     evidence is counted; only a renewal by the platform ends it.
+//  3. A candidate pins its round of questions to one version of the object and
+//     makes its conditional update on that version.
+//  4. A round ends after a bounded time, and the take-over time is longer than the
+//     fence time plus the round plus clock drift.
+//
+// # Usage
+//
+//	t := term.New(clock, platform, asker, self, options, observer)
+//	t.Tick()          // every 100 ms
+//	if t.IsValid() {  // before each operation of a leader
+//	}
+package term
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Member is a node that has a voice in the next take-over.
+type Member struct {
+	Node world.NodeID  `json:"node"`
+	Peer world.Address `json:"peer"`
+}
+
+// Self is the node that a Term belongs to.
+type Self struct {
+	Member
+	Domain      world.DomainID
+	Incarnation uint64
+}
+
+// Record is the stored object.
+type Record struct {
+	Domain  world.DomainID `json:"domain"`
+	Epoch   world.Epoch    `json:"epoch"`
+	Holder  Member         `json:"holder"`
+	Members []Member       `json:"members"`
+	// Incarnation is the holder's, to tell a lost answer from an earlier life.
+	Incarnation uint64 `json:"incarnation"`
+	// Renewal makes each renewal a change, which starts the take-over time anew.
+	Renewal uint64 `json:"renewal"`
+}
+
+// ObjectKey is the platform's key of a failure domain's term.
+func ObjectKey(domain world.DomainID) string { return "term/" + string(domain) }
+
+// ParseRecord decodes a stored object.
+func ParseRecord(value []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, errors.Wrap(err, "term record")
+	}
+	return r, nil
+}
+
+// Options are the times of a term.
+type Options struct {
+	// Renew is the time between renewals by the holder.
+	Renew time.Duration
+	// Fence is how long evidence of contact counts.
+	Fence time.Duration
+	// Round bounds the questions of a candidate.
+	Round time.Duration
+	// TakeOver is how long the object must stand unchanged.
+	TakeOver time.Duration
+}
+
+// DefaultOptions returns the times used in production.
+func DefaultOptions() Options {
+	return Options{
+		Renew:    500 * time.Millisecond,
+		Fence:    2 * time.Second,
+		Round:    400 * time.Millisecond,
+		TakeOver: 2800 * time.Millisecond,
+	}
+}
+
+// Asker sends a question to a member. done is called at most once.
+type Asker interface {
+	Testify(to world.Address, req *wire.TestifyRequest, done func(*wire.TestifyReply, error))
+}
+
+// Observer is told about the term. Its methods are called without locks held.
+type Observer interface {
+	// TermWon starts the role. handover is nil unless the predecessor passed its state.
+	TermWon(r Record, handover *wire.HandoverRequest)
+	// TermLost ends the role.
+	TermLost(epoch world.Epoch)
+	// TermSeen tells of a holder that the platform names.
+	TermSeen(r Record)
+}
+
+// Term is one node's view of its failure domain's term.
+type Term struct {
+	clock    timer.Service
+	platform store.Platform
+	asker    Asker
+	observer Observer
+	self     Self
+	domain   world.DomainID
+	options  Options
+
+	mu      sync.Mutex
+	version uint64
+	record  Record
+	// firstSeen is when the current version was first seen here.
+	firstSeen time.Duration
+	// lastHeard is when the holder last answered this node.
+	lastHeard  time.Duration
+	heardEpoch world.Epoch
+	busy       bool
+	busySince  time.Duration
+	wantRead   bool
+	lastCall   time.Duration
+
+	holding  bool
+	held     world.Epoch
+	released bool
+	lapsed   bool
+	// confirmedAt is when the last renewal that the platform confirmed was sent.
+	confirmedAt time.Duration
+	evidence    map[world.NodeID]time.Duration
+	// members is the list of the confirmed version; tentative are lists of writes
+	// whose outcome is unknown. The holder needs a majority of each.
+	members   []Member
+	tentative [][]Member
+	next      []Member
+	// handover is the state that came with a write whose outcome is unknown.
+	handover *wire.HandoverRequest
+}
+
+// New returns a term without a known holder.
+func New(clock timer.Service, platform store.Platform, asker Asker, self Self, options Options, observer Observer) *Term {
+	now := clock.Now()
+	return &Term{
+		clock:     clock,
+		platform:  platform,
+		asker:     asker,
+		observer:  observer,
+		self:      self,
+		domain:    self.Domain,
+		options:   options,
+		lastHeard: now,
+		wantRead:  true,
+		lastCall:  now - options.TakeOver,
+	}
+}
+
+// quorum is the number of members that keep a term without the platform. One
+// member alone never does: nobody could tell that it has stopped.
+func quorum(members int) int { return max(2, members/2+1) }
+
+// testimoniesNeeded is the number of members without contact that leave the rest
+// without a quorum.
+func testimoniesNeeded(members int) int { return max(0, members-quorum(members)+1) }
+
+// IsValid reports whether this node holds the term at this moment.
+func (t *Term) IsValid() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.validLocked()
+}
+
+// IsHolding reports whether this node holds the term or may get it back.
+func (t *Term) IsHolding() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holding
+}
+
+// Epoch returns the newest epoch known here.
+func (t *Term) Epoch() world.Epoch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(t.record.Epoch, t.heardEpoch)
+}
+
+func (t *Term) validLocked() bool {
+	if !t.holding || t.released {
+		return false
+	}
+	if t.lapsed {
+		return false
+	}
+	now := t.clock.Now()
+	if t.confirmedAt+t.options.Fence > now {
+		return true
+	}
+	if t.hasQuorum(t.members, now) && t.hasQuorumOfTentative(now) {
+		return true
+	}
+	t.lapsed = true
+	return false
+}
+
+func (t *Term) hasQuorumOfTentative(now time.Duration) bool {
+	for _, members := range t.tentative {
+		if !t.hasQuorum(members, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Term) hasQuorum(members []Member, now time.Duration) bool {
+	n := 0
+	for _, m := range members {
+		at, ok := t.evidence[m.Node]
+		if m.Node == t.self.Node || ok && at+t.options.Fence > now {
+			n++
+		}
+	}
+	return n >= quorum(len(members))
+}
+
+// Contact counts a member's answer. sent is the instant at which this node sent
+// the message that the member answered.
+func (t *Term) Contact(member world.NodeID, sent time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.validLocked() {
+		return
+	}
+	if sent > t.evidence[member] {
+		t.evidence[member] = sent
+	}
+}
+
+// Heard notes that the holder of an epoch answered this node.
+func (t *Term) Heard(epoch world.Epoch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if epoch < max(t.record.Epoch, t.heardEpoch) {
+		return
+	}
+	t.heardEpoch = epoch
+	t.lastHeard = t.clock.Now()
+}
+
+// Testimony answers a candidate's question.
+func (t *Term) Testimony(req *wire.TestifyRequest) *wire.TestifyReply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &wire.TestifyReply{
+		Node:     string(t.self.Node),
+		IsHolder: t.validLocked(),
+		SilentMs: (t.clock.Now() - t.lastHeard).Milliseconds(),
+	}
+}
+
+// SetMembers tells the holder the members to list at its next renewal.
+func (t *Term) SetMembers(members []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next = members
+}
+
+// Tick does what is due: a renewal by the holder, or a candidate's next step.
+func (t *Term) Tick() {
+	t.mu.Lock()
+	now := t.clock.Now()
+	if t.busy && now-t.busySince < t.options.TakeOver {
+		t.mu.Unlock()
+		return
+	}
+	t.validLocked()
+	step := t.nextStepLocked(now)
+	if step != nil {
+		t.busy = true
+		t.busySince = now
+		t.lastCall = now
+	}
+	t.mu.Unlock()
+	if step != nil {
+		step()
+	}
+}
+
+func (t *Term) nextStepLocked(now time.Duration) func() {
+	if t.released {
+		return nil
+	}
+	if now-t.lastCall < t.options.Renew {
+		return nil
+	}
+	if t.holding && !t.wantRead {
+		return t.renewLocked(now)
+	}
+	if !t.holding && now-t.lastHeard < t.options.Fence && t.heardEpoch != 0 {
+		return nil
+	}
+	if !t.holding && t.version != 0 && now-t.firstSeen > t.patienceLocked() && !t.wantRead {
+		return t.roundLocked(now)
+	}
+	return t.read
+}
+
+// Candidates start their rounds one after another, so that not every node of a
+// large failure domain questions every other one.
+const (
+	candidateStep = 150 * time.Millisecond
+	mostSteps     = 10
+)
+
+func (t *Term) patienceLocked() time.Duration {
+	steps := 0
+	for _, m := range t.record.Members {
+		if m.Node == t.self.Node || steps == mostSteps {
+			break
+		}
+		steps++
+	}
+	return t.options.TakeOver + time.Duration(steps)*candidateStep
+}
+
+func (t *Term) idle() {
+	t.mu.Lock()
+	t.busy = false
+	t.mu.Unlock()
+}
+
+// read fetches the object.
+func (t *Term) read() {
+	sent := t.clock.Now()
+	t.platform.Get(ObjectKey(t.domain), func(o store.Object, err error) {
+		defer t.idle()
+		if errors.Is(err, store.ErrNotFound) {
+			t.create(sent)
+			return
+		}
+		if err != nil {
+			return
+		}
+		t.saw(o, sent)
+	})
+}
+
+// create writes the first term of a failure domain.
+func (t *Term) create(sent time.Duration) {
+	t.write(0, t.newRecord(1, nil), sent, nil)
+}
+
+// newRecord is the first record of a term of this node.
+func (t *Term) newRecord(epoch world.Epoch, others []Member) Record {
+	return Record{
+		Domain:      t.domain,
+		Epoch:       epoch,
+		Holder:      t.self.Member,
+		Members:     append([]Member{t.self.Member}, others...),
+		Incarnation: t.self.Incarnation,
+	}
+}
+
+func (t *Term) saw(o store.Object, sent time.Duration) {
+	r, err := ParseRecord(o.Value)
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	if o.Version <= t.version && t.version != 0 {
+		t.wantRead = false
+		t.mu.Unlock()
+		return
+	}
+	t.version = o.Version
+	t.record = r
+	t.firstSeen = t.clock.Now()
+	t.wantRead = false
+	isOwn := r.Holder.Node == t.self.Node && r.Incarnation == t.self.Incarnation
+	lost := t.holding && (!isOwn || r.Epoch != t.held)
+	if lost {
+		t.stepDownLocked()
+	}
+	won := isOwn && !t.holding
+	var handover *wire.HandoverRequest
+	if won {
+		// The answer of the write that won the term was lost. The term is fenced
+		// until a renewal is confirmed.
+		handover = t.handover
+		t.winLocked(r, 0)
+		t.lapsed = true
+	}
+	if t.holding {
+		t.members = r.Members
+	}
+	t.mu.Unlock()
+	if lost {
+		t.observer.TermLost(r.Epoch)
+	}
+	if won {
+		t.observer.TermWon(r, handover)
+	}
+	t.observer.TermSeen(r)
+}
+
+func (t *Term) winLocked(r Record, sent time.Duration) {
+	t.holding = true
+	t.held = r.Epoch
+	t.released = false
+	t.lapsed = false
+	t.heardEpoch = r.Epoch
+	t.evidence = map[world.NodeID]time.Duration{}
+	t.tentative = nil
+	t.next = nil
+	t.confirmedAt = sent
+}
+
+func (t *Term) stepDownLocked() {
+	t.holding = false
+	t.lapsed = false
+	t.released = false
+	t.evidence = nil
+	t.tentative = nil
+	t.lastHeard = t.clock.Now()
+}
+
+// renewLocked prepares a renewal with the newest member list.
+func (t *Term) renewLocked(now time.Duration) func() {
+	r := t.record
+	r.Renewal++
+	if len(t.next) > 0 {
+		r.Members = t.next
+	}
+	version := t.version
+	return func() { t.write(version, r, now, nil) }
+}
+
+// write makes the conditional update that creates, renews or takes over a term.
+func (t *Term) write(expected uint64, r Record, sent time.Duration, handover *wire.HandoverRequest) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		t.idle()
+		return
+	}
+	t.mu.Lock()
+	if !t.holding {
+		t.handover = handover
+	}
+	if t.holding {
+		t.tentative = append(t.tentative, r.Members)
+	}
+	t.mu.Unlock()
+	t.platform.Put(ObjectKey(t.domain), expected, value, func(version uint64, err error) {
+		defer t.idle()
+		if err != nil {
+			// The write may have taken effect, so the version is read before the next one.
+			t.mu.Lock()
+			t.wantRead = true
+			t.mu.Unlock()
+			return
+		}
+		t.wrote(version, r, sent, handover)
+	})
+}
+
+func (t *Term) wrote(version uint64, r Record, sent time.Duration, handover *wire.HandoverRequest) {
+	t.mu.Lock()
+	if version <= t.version {
+		t.mu.Unlock()
+		return
+	}
+	won := !t.holding
+	t.version = version
+	t.record = r
+	t.firstSeen = t.clock.Now()
+	if won {
+		t.winLocked(r, sent)
+	}
+	t.lapsed = false
+	t.confirmedAt = max(t.confirmedAt, sent)
+	t.members = r.Members
+	t.tentative = nil
+	t.mu.Unlock()
+	if won {
+		t.observer.TermWon(r, handover)
+	}
+}
--- /dev/null
+++ b/io/admin/store.go
@@ -0,0 +1,226 @@
+// Package admin holds the operators' commands: intents, plans, their confirmation,
+// and what the fleet reports about itself.
+//
+// # Usage
+//
+//	os.Exit(admin.Main(os.Args[1:], os.Stdout, os.Stderr))
+package admin
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wagtailyoke/core/intent"
+	"wagtailyoke/core/node"
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+	"wagtailyoke/io/httpx"
+	"wagtailyoke/io/plat"
+)
+
+const platformTimeout = 3 * time.Second
+
+// fleet is the operator's access to the platform and the nodes.
+type fleet struct {
+	platform *plat.Client
+	secret   string
+	http     *http.Client
+}
+
+func newFleet(o *options) *fleet {
+	const statusTimeout = 2 * time.Second
+	return &fleet{
+		platform: plat.NewClient(o.Platform, platformTimeout),
+		secret:   o.Secret,
+		http:     &http.Client{Timeout: statusTimeout},
+	}
+}
+
+// config reads the configuration in force, or an empty one.
+func (f *fleet) config(ctx context.Context) (*intent.Config, error) {
+	o, err := f.platform.GetNow(ctx, intent.ObjectKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return intent.Empty(), nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return intent.Decode(world.ConfigVersion(o.Version), o.Value)
+}
+
+// propose checks intents and stores their plan.
+func (f *fleet) propose(ctx context.Context, intents []intent.Intent) (*intent.Plan, error) {
+	cfg, err := f.config(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p, err := intent.NewPlan(newID(), time.Now().UnixMilli(), cfg, intents)
+	if err != nil {
+		return nil, err
+	}
+	value, err := p.Encode()
+	if err != nil {
+		return nil, err
+	}
+	_, err = f.platform.PutNow(ctx, intent.PlanKey(p.ID), 0, value)
+	return p, err
+}
+
+func newID() string {
+	var b [4]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// outcome is what a confirmation came to.
+type outcome struct {
+	Plan    *intent.Plan        `json:"plan"`
+	Version world.ConfigVersion `json:"version"`
+	// Already is set if the change was made by an earlier confirmation.
+	Already bool `json:"already"`
+}
+
+const (
+	confirmTries = 15
+	confirmPause = time.Second
+)
+
+// confirm makes a plan's change. A write whose answer was lost is looked up in the
+// history, so a change is made once however often it is confirmed.
+func (f *fleet) confirm(ctx context.Context, id string) (*outcome, error) {
+	p, err := f.plan(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	isUnknown := false
+	for try := 0; ; try++ {
+		out, err := f.tryConfirm(ctx, p)
+		if err == nil {
+			out.Already = out.Already && !isUnknown
+			return out, nil
+		}
+		if !errors.Is(err, store.ErrUnavailable) || try == confirmTries {
+			return nil, err
+		}
+		isUnknown = true
+		time.Sleep(confirmPause)
+	}
+}
+
+func (f *fleet) plan(ctx context.Context, id string) (*intent.Plan, error) {
+	o, err := f.platform.GetNow(ctx, intent.PlanKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, errors.Wrapf(err, "plan %q; `wagtailyoke plans` lists those that wait", id)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return intent.DecodePlan(o.Value)
+}
+
+func (f *fleet) tryConfirm(ctx context.Context, p *intent.Plan) (*outcome, error) {
+	cfg, err := f.config(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if version, ok := cfg.HasChange(p.ID); ok {
+		return &outcome{Plan: p, Version: version, Already: true}, nil
+	}
+	next, err := p.Confirmed(cfg, time.Now().UnixMilli())
+	if err != nil {
+		return nil, err
+	}
+	value, err := next.Encode()
+	if err != nil {
+		return nil, err
+	}
+	version, err := f.platform.PutNow(ctx, intent.ObjectKey, uint64(cfg.Version), value)
+	if errors.Is(err, store.ErrConflict) {
+		return f.lostRace(ctx, p)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &outcome{Plan: p, Version: world.ConfigVersion(version)}, nil
+}
+
+// lostRace reads who was faster. The winner may be this plan itself.
+func (f *fleet) lostRace(ctx context.Context, p *intent.Plan) (*outcome, error) {
+	cfg, err := f.config(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if version, ok := cfg.HasChange(p.ID); ok {
+		return &outcome{Plan: p, Version: version, Already: true}, nil
+	}
+	_, err = p.Confirmed(cfg, 0)
+	return nil, err
+}
+
+// nodes returns what the nodes announced.
+func (f *fleet) nodes(ctx context.Context) ([]*wire.NodeInfo, error) {
+	objects, err := f.platform.ListNow(ctx, "node/")
+	if err != nil {
+		return nil, err
+	}
+	var nodes []*wire.NodeInfo
+	for _, o := range objects {
+		info := &wire.NodeInfo{}
+		if json.Unmarshal(o.Value, info) == nil {
+			nodes = append(nodes, info)
+		}
+	}
+	return nodes, nil
+}
+
+// status asks one node.
+func (f *fleet) status(ctx context.Context, info *wire.NodeInfo) (*node.Status, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+info.GetOpsAddress()+"/status", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "status")
+	}
+	req.Header.Set(httpx.HeaderSecret, f.secret)
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "status")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status of %s: %s; check --secret", info.GetName(), resp.Status)
+	}
+	s := &node.Status{}
+	return s, errors.Wrap(json.NewDecoder(resp.Body).Decode(s), "status")
+}
+
+// statuses asks all nodes at once. Nodes that do not answer are missing.
+func (f *fleet) statuses(ctx context.Context, nodes []*wire.NodeInfo) map[string]*node.Status {
+	type answer struct {
+		name   string
+		status *node.Status
+	}
+	answers := make(chan answer)
+	for _, info := range nodes {
+		go func() {
+			s, err := f.status(ctx, info)
+			if err != nil {
+				s = nil
+			}
+			answers <- answer{info.GetName(), s}
+		}()
+	}
+	all := map[string]*node.Status{}
+	for range nodes {
+		a := <-answers
+		if a.status != nil {
+			all[a.name] = a.status
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/io/conf/conf.go
@@ -0,0 +1,238 @@
+// Package conf reads a node's settings from TOML and checks them.
+//
+// # Usage
+//
+//	s, err := conf.Load("node.toml")
+//	// err names every fault: file, line, key and what is accepted.
+package conf
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// ErrInvalid means that a settings file has faults.
+var ErrInvalid = errors.New("invalid settings")
+
+// Settings are a node's settings.
+type Settings struct {
+	Node     Node     `toml:"node"`
+	Listen   Listen   `toml:"listen"`
+	Upstream Upstream `toml:"upstream"`
+	Platform Platform `toml:"platform"`
+	Fleet    Fleet    `toml:"fleet"`
+}
+
+// Node names the node and its place.
+type Node struct {
+	Name    string `toml:"name"`
+	Domain  string `toml:"domain"`
+	Service string `toml:"service"`
+}
+
+// Listen holds the addresses of the four listeners.
+type Listen struct {
+	Public string `toml:"public"`
+	Egress string `toml:"egress"`
+	Peer   string `toml:"peer"`
+	Ops    string `toml:"ops"`
+	// MaxConnections bounds the connections of the public listener.
+	MaxConnections int `toml:"maxConnections"`
+}
+
+// Upstream is the service process on this VM.
+type Upstream struct {
+	Address string `toml:"address"`
+}
+
+// Platform is the object API.
+type Platform struct {
+	URL       string `toml:"url"`
+	TimeoutMs int    `toml:"timeoutMs"`
+}
+
+// Fleet holds what all nodes share.
+type Fleet struct {
+	Secret string   `toml:"secret"`
+	Seeds  []string `toml:"seeds"`
+	// StopSeconds bounds a graceful shutdown.
+	StopSeconds int `toml:"stopSeconds"`
+}
+
+// Defaults and limits.
+const (
+	defaultTimeoutMs      = 2000
+	defaultStopSeconds    = 30
+	defaultMaxConnections = 10000
+	minSecretLength       = 16
+	maxSecretLength       = 64
+)
+
+// Fault is one thing that is wrong with a settings file.
+type Fault struct {
+	Line     int
+	Key      string
+	Problem  string
+	Accepted string
+}
+
+// Faults is the error of Load. It matches ErrInvalid.
+type Faults struct {
+	File string
+	List []Fault
+}
+
+// Error lists all faults, one a line.
+func (f *Faults) Error() string {
+	lines := make([]string, 0, len(f.List))
+	for _, fault := range f.List {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s; accepted: %s", f.File, fault.Line, fault.Key, fault.Problem, fault.Accepted))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Is makes the error match ErrInvalid.
+func (f *Faults) Is(target error) bool { return target == ErrInvalid }
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(ErrInvalid, err.Error())
+	}
+	return Parse(file, text)
+}
+
+// Parse checks the text of a settings file.
+func Parse(file string, text []byte) (*Settings, error) {
+	s := &Settings{}
+	c := &checker{text: string(text)}
+	c.decode(s)
+	if len(c.faults) == 0 {
+		s.setDefaults()
+		c.check(s)
+	}
+	if len(c.faults) > 0 {
+		return nil, &Faults{File: file, List: c.faults}
+	}
+	return s, nil
+}
+
+func (s *Settings) setDefaults() {
+	setDefault(&s.Platform.TimeoutMs, defaultTimeoutMs)
+	setDefault(&s.Fleet.StopSeconds, defaultStopSeconds)
+	setDefault(&s.Listen.MaxConnections, defaultMaxConnections)
+}
+
+func setDefault(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+type checker struct {
+	text   string
+	faults []Fault
+}
+
+func (c *checker) decode(s *Settings) {
+	decoder := toml.NewDecoder(strings.NewReader(c.text)).DisallowUnknownFields()
+	err := decoder.Decode(s)
+	var strict *toml.StrictMissingError
+	var syntax *toml.DecodeError
+	switch {
+	case err == nil:
+	case errors.As(err, &strict):
+		for i := range strict.Errors {
+			row, _ := strict.Errors[i].Position()
+			c.add(row, strings.Join(strict.Errors[i].Key(), "."), "unknown key", "the keys in docs/operating.md")
+		}
+	case errors.As(err, &syntax):
+		row, _ := syntax.Position()
+		c.add(row, strings.Join(syntax.Key(), "."), syntax.Error(), "TOML with values of the types in docs/operating.md")
+	default:
+		c.add(1, "file", err.Error(), "TOML")
+	}
+}
+
+func (c *checker) add(line int, key, problem, accepted string) {
+	c.faults = append(c.faults, Fault{Line: line, Key: key, Problem: problem, Accepted: accepted})
+}
+
+// line finds the line of section.key, or of the section, or 1.
+func (c *checker) line(section, key string) int {
+	current, found := "", 1
+	for i, line := range strings.Split(c.text, "\n") {
+		trimmed := strings.TrimSpace(line)
+		if strings.HasPrefix(trimmed, "[") {
+			current = strings.Trim(trimmed, "[] ")
+			if current == section {
+				found = i + 1
+			}
+			continue
+		}
+		name, _, ok := strings.Cut(trimmed, "=")
+		if ok && current == section && strings.TrimSpace(name) == key {
+			return i + 1
+		}
+	}
+	return found
+}
+
+func (c *checker) fault(section, key, problem, accepted string) {
+	c.add(c.line(section, key), section+"."+key, problem, accepted)
+}
+
+func (c *checker) check(s *Settings) {
+	c.name("node", "name", s.Node.Name)
+	c.name("node", "domain", s.Node.Domain)
+	c.name("node", "service", s.Node.Service)
+	c.address("listen", "public", s.Listen.Public)
+	c.address("listen", "egress", s.Listen.Egress)
+	c.address("listen", "peer", s.Listen.Peer)
+	c.address("listen", "ops", s.Listen.Ops)
+	c.address("upstream", "address", s.Upstream.Address)
+	c.between("listen", "maxConnections", s.Listen.MaxConnections, 1, 1_000_000)
+	c.between("platform", "timeoutMs", s.Platform.TimeoutMs, 100, 60_000)
+	c.between("fleet", "stopSeconds", s.Fleet.StopSeconds, 1, 600)
+	u, err := url.Parse(s.Platform.URL)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		c.fault("platform", "url", fmt.Sprintf("%q is no URL", s.Platform.URL), "http://HOST:PORT or https://HOST:PORT")
+	}
+	if len(s.Fleet.Secret) < minSecretLength || len(s.Fleet.Secret) > maxSecretLength {
+		// The value stays out of the message: it is a secret.
+		c.fault("fleet", "secret", fmt.Sprintf("it has %d characters", len(s.Fleet.Secret)),
+			fmt.Sprintf("%d to %d characters, the same at every node", minSecretLength, maxSecretLength))
+	}
+	for _, seed := range s.Fleet.Seeds {
+		c.address("fleet", "seeds", seed)
+	}
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+func (c *checker) name(section, key, value string) {
+	if !namePattern.MatchString(value) {
+		c.fault(section, key, fmt.Sprintf("%q is no name", value), "1 to 63 characters of a-z, 0-9, dot and hyphen, starting with a letter or digit")
+	}
+}
+
+func (c *checker) address(section, key, value string) {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		c.fault(section, key, fmt.Sprintf("%q is no address", value), "IP:PORT with a numeric IP, for example 10.1.2.3:8080")
+	}
+}
+
+func (c *checker) between(section, key string, value, least, most int) {
+	if value < least || value > most {
+		c.fault(section, key, fmt.Sprintf("%d is out of range", value), fmt.Sprintf("%d to %d", least, most))
+	}
+}
--- /dev/null
+++ b/io/meter/meter.go
@@ -0,0 +1,96 @@
+// Package meter counts refusals and retries by reason with tally and shows them
+// in the Prometheus text format.
+//
+// # Usage
+//
+//	m, closer := meter.New()
+//	m.Refused(world.CodeOverRate)
+//	http.Handle("/metrics", m.Handler())
+package meter
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"wagtailyoke/core/world"
+)
+
+// Names of the counters. docs/metrics.md lists them.
+const (
+	CounterServed     = "served"
+	CounterRefused    = "refused"
+	CounterRetried    = "retried"
+	CounterViolations = "invariant_violations"
+)
+
+const prefix = "wagtailyoke"
+
+// reportInterval is how often counts move to the exposed registry.
+const reportInterval = 500 * time.Millisecond
+
+// Meter counts.
+type Meter struct {
+	scope    tally.Scope
+	reporter prometheus.Reporter
+
+	mu       sync.RWMutex
+	counters map[counterID]tally.Counter
+}
+
+type counterID struct {
+	name  string
+	label string
+	value string
+}
+
+// New returns a meter. The closer flushes it.
+func New() (*Meter, io.Closer) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         prefix,
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return &Meter{scope: scope, reporter: reporter, counters: map[counterID]tally.Counter{}}, closer
+}
+
+// Handler serves the counters.
+func (m *Meter) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Served counts a call that was answered by an upstream.
+func (m *Meter) Served(route world.RouteID) { m.counter(CounterServed, "route", string(route)).Inc(1) }
+
+// Refused counts a refusal by its code.
+func (m *Meter) Refused(code world.Code) { m.counter(CounterRefused, "reason", string(code)).Inc(1) }
+
+// Retried counts a retry by the code of the failure before it.
+func (m *Meter) Retried(reason world.Code) {
+	m.counter(CounterRetried, "reason", string(reason)).Inc(1)
+}
+
+// Violated counts a broken invariant.
+func (m *Meter) Violated() { m.counter(CounterViolations, "", "").Inc(1) }
+
+func (m *Meter) counter(name, label, value string) tally.Counter {
+	id := counterID{name: name, label: label, value: value}
+	m.mu.RLock()
+	c, ok := m.counters[id]
+	m.mu.RUnlock()
+	if ok {
+		return c
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	scope := m.scope
+	if label != "" {
+		scope = scope.Tagged(map[string]string{label: value})
+	}
+	c = scope.Counter(name)
+	m.counters[id] = c
+	return c
+}
--- /dev/null
+++ b/io/peer/control.go
@@ -0,0 +1,254 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmigrate"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+
+	"wagtailyoke/core/node"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Links implements node.Links over sockets.
+type Links struct {
+	clock     timer.Service
+	secret    string
+	transport *http.Transport
+	pool      *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// Pool sizes.
+const (
+	idleForwards = 64
+	idleControls = 4
+	idleTotal    = 512
+	idleTime     = time.Minute
+)
+
+// NewLinks returns links that show the given secret.
+func NewLinks(clock timer.Service, secret string) *Links {
+	return &Links{
+		clock:     clock,
+		secret:    secret,
+		transport: NewTransport(idleForwards),
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration:  idleTime,
+			Capacity:    idleTotal,
+			KeyCapacity: idleControls,
+		}),
+	}
+}
+
+// Close ends all idle connections.
+func (l *Links) Close() error {
+	l.transport.CloseIdleConnections()
+	return errors.Wrap(l.pool.Close(), "control connections")
+}
+
+func (l *Links) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(node.ErrNotSent, err.Error())
+	}
+	// The secret follows the header that selects drpc on the shared listener.
+	if _, err := raw.Write([]byte(drpcmigrate.DRPCHeader + padSecret(l.secret))); err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrap(err, "control connection")
+	}
+	return drpcconn.New(raw), nil
+}
+
+// Control implements node.Links.
+func (l *Links) Control(to world.Address, req proto.Message, timeout time.Duration, done func(proto.Message, error)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		conn := l.pool.Get(ctx, string(to), l.dial)
+		defer func() { _ = conn.Close() }()
+		done(invoke(ctx, wire.NewDRPCControlClient(conn), req))
+	}()
+}
+
+// invoke keeps a nil reply of a failed call from becoming a non-nil interface.
+func invoke(ctx context.Context, c wire.DRPCControlClient, req proto.Message) (proto.Message, error) {
+	var reply proto.Message
+	var err error
+	switch m := req.(type) {
+	case *wire.BeatRequest:
+		reply, err = c.Beat(ctx, m)
+	case *wire.ConfigRequest:
+		reply, err = c.Config(ctx, m)
+	case *wire.TestifyRequest:
+		reply, err = c.Testify(ctx, m)
+	case *wire.BeginRequest:
+		reply, err = c.Begin(ctx, m)
+	case *wire.FinishRequest:
+		reply, err = c.Finish(ctx, m)
+	case *wire.HandoverRequest:
+		reply, err = c.Handover(ctx, m)
+	default:
+		err = errors.Errorf("no control message of type %T", req)
+	}
+	if err != nil {
+		return nil, errors.Wrap(node.ErrBroken, err.Error())
+	}
+	return reply, nil
+}
+
+// Handler is the node behind a Server.
+type Handler interface {
+	ServePeer(c *world.Call, done func(*world.Reply)) (cancel func())
+	HandleControl(req proto.Message, done func(proto.Message))
+}
+
+// Server is a node's peer listener.
+type Server struct {
+	clock   timer.Service
+	secret  string
+	handler Handler
+	http    *http.Server
+	cancel  context.CancelFunc
+}
+
+// Limits of the listener.
+const (
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 5 * time.Second
+)
+
+// Listen starts a peer listener on a bound socket.
+func Listen(base net.Listener, secret string, clock timer.Service, handler Handler) (*Server, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{clock: clock, secret: secret, handler: handler, cancel: cancel}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterControl(mux, &controlServer{handler: handler}); err != nil {
+		cancel()
+		return nil, errors.Wrap(err, "control service")
+	}
+	listener := drpcmigrate.NewListenMux(base, len(drpcmigrate.DRPCHeader))
+	control := &secretListener{Listener: listener.Route(drpcmigrate.DRPCHeader), secret: secret}
+	s.http = &http.Server{
+		Handler:           http.HandlerFunc(s.serveForward),
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	server := drpcserver.New(mux)
+	go func() { _ = listener.Run(ctx) }()
+	go func() { _ = server.Serve(ctx, control) }()
+	go func() { _ = s.http.Serve(listener.Default()) }()
+	return s, nil
+}
+
+// Shutdown stops the listener once its calls have ended.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	s.cancel()
+	return errors.Wrap(err, "peer listener")
+}
+
+const secretLength = 64
+
+// padSecret gives all secrets the same length on the wire.
+func padSecret(secret string) string {
+	padded := make([]byte, secretLength)
+	copy(padded, secret)
+	return string(padded)
+}
+
+// secretListener drops connections that do not start with the secret.
+type secretListener struct {
+	net.Listener
+	secret string
+}
+
+func (l *secretListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &secretConn{Conn: conn, want: padSecret(l.secret)}, nil
+}
+
+// secretConn checks the secret at the first read, so that a silent connection
+// does not hold up the listener.
+type secretConn struct {
+	net.Conn
+	want    string
+	checked bool
+}
+
+func (c *secretConn) Read(p []byte) (int, error) {
+	if !c.checked {
+		got := make([]byte, secretLength)
+		if _, err := io.ReadFull(c.Conn, got); err != nil {
+			return 0, err
+		}
+		if !sameSecret(string(got), c.want) {
+			_ = c.Close()
+			return 0, io.ErrUnexpectedEOF
+		}
+		c.checked = true
+	}
+	return c.Conn.Read(p)
+}
+
+// controlServer serves drpc calls through the handler.
+type controlServer struct {
+	handler Handler
+}
+
+var _ drpc.Message = (*wire.BeatRequest)(nil)
+
+func handle[T proto.Message](ctx context.Context, h Handler, req proto.Message) (T, error) {
+	answered := make(chan proto.Message, 1)
+	h.HandleControl(req, func(m proto.Message) { answered <- m })
+	var none T
+	select {
+	case m := <-answered:
+		reply, ok := m.(T)
+		if !ok {
+			return none, errors.Errorf("no answer to %T", req)
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (s *controlServer) Beat(ctx context.Context, req *wire.BeatRequest) (*wire.BeatReply, error) {
+	return handle[*wire.BeatReply](ctx, s.handler, req)
+}
+
+func (s *controlServer) Config(ctx context.Context, req *wire.ConfigRequest) (*wire.ConfigReply, error) {
+	return handle[*wire.ConfigReply](ctx, s.handler, req)
+}
+
+func (s *controlServer) Testify(ctx context.Context, req *wire.TestifyRequest) (*wire.TestifyReply, error) {
+	return handle[*wire.TestifyReply](ctx, s.handler, req)
+}
+
+func (s *controlServer) Begin(ctx context.Context, req *wire.BeginRequest) (*wire.BeginReply, error) {
+	return handle[*wire.BeginReply](ctx, s.handler, req)
+}
+
+func (s *controlServer) Finish(ctx context.Context, req *wire.FinishRequest) (*wire.FinishReply, error) {
+	return handle[*wire.FinishReply](ctx, s.handler, req)
+}
+
+func (s *controlServer) Handover(ctx context.Context, req *wire.HandoverRequest) (*wire.HandoverReply, error) {
+	return handle[*wire.HandoverReply](ctx, s.handler, req)
+}
--- /dev/null
+++ b/io/peer/forward.go
@@ -0,0 +1,291 @@
+// Package peer carries calls and control messages between nodes. Calls are HTTP
+// requests over kept connections, control messages are drpc. Both use one listener:
+// a connection that starts with the drpc header is a control connection. Every
+// connection or request shows the fleet's secret.
+//
+// # Usage
+//
+//	links := peer.NewLinks(clock, secret)   // a node.Links
+//	server, err := peer.Listen(address, secret, clock, handler)
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/base64"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/node"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Headers between nodes.
+const (
+	headerSecret = "Wagtailyoke-Secret"
+	headerCall   = "Wagtailyoke-Call"
+	headerReply  = "Wagtailyoke-Reply"
+)
+
+const dialTimeout = 500 * time.Millisecond
+
+// MaxBodyBytes is the largest body that a node takes, in either direction.
+const MaxBodyBytes = 1 << 20
+
+// NewTransport returns an HTTP transport for calls to one kind of peer. Nothing
+// is decompressed, since bodies pass through unchanged.
+func NewTransport(idlePerHost int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, errors.Wrap(node.ErrNotSent, err.Error())
+			}
+			return conn, nil
+		},
+		MaxIdleConns:        4 * idlePerHost,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
+
+// onceBody hides a body's type. The transport repeats requests on its own when it
+// can rewind the body, and a request without a body always; neither may happen,
+// since a repeated call would escape the retry budget and could run twice.
+type onceBody struct {
+	io.Reader
+}
+
+func (onceBody) Close() error { return nil }
+
+// OnceBody returns a body that the transport cannot repeat.
+func OnceBody(r io.Reader) io.ReadCloser { return onceBody{r} }
+
+// RoundTrip sends a request on its own goroutine and reads the whole answer. An
+// answer that is cut short or too long is an error.
+func RoundTrip(t http.RoundTripper, req *http.Request, done func(*http.Response, []byte, error)) (cancel func()) {
+	ctx, stop := context.WithCancel(req.Context())
+	go func() {
+		defer stop()
+		resp, err := t.RoundTrip(req.WithContext(ctx))
+		if err != nil {
+			done(nil, nil, classify(err))
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
+		_ = resp.Body.Close()
+		if err == nil && len(body) > MaxBodyBytes {
+			err = errors.New("answer is longer than 1 MiB")
+		}
+		if err != nil {
+			done(nil, nil, errors.Wrap(node.ErrBroken, err.Error()))
+			return
+		}
+		done(resp, body, nil)
+	}()
+	return stop
+}
+
+func classify(err error) error {
+	if errors.Is(err, node.ErrNotSent) {
+		return err
+	}
+	return errors.Wrap(node.ErrBroken, err.Error())
+}
+
+// Forward implements node.Links.
+func (l *Links) Forward(to world.Address, c *world.Call, done func(*world.Reply, error)) (cancel func()) {
+	req, err := l.newForward(to, c)
+	if err != nil {
+		done(nil, errors.Wrap(node.ErrNotSent, err.Error()))
+		return func() {}
+	}
+	return RoundTrip(l.transport, req, func(resp *http.Response, body []byte, err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		done(readReply(c.ID, resp, body))
+	})
+}
+
+func (l *Links) newForward(to world.Address, c *world.Call) (*http.Request, error) {
+	req, err := http.NewRequest(c.Method, "http://"+string(to)+c.Path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "forwarded request")
+	}
+	if c.Header != nil {
+		req.Header = c.Header.Clone()
+	}
+	SetBody(req, c.Body)
+	meta, err := proto.Marshal(metaOf(c, l.clock))
+	if err != nil {
+		return nil, errors.Wrap(err, "call meta")
+	}
+	req.Header.Set(headerCall, base64.StdEncoding.EncodeToString(meta))
+	req.Header.Set(headerSecret, l.secret)
+	return req, nil
+}
+
+// SetBody gives a request a body that is sent once.
+func SetBody(req *http.Request, body []byte) {
+	req.Body = OnceBody(&sliceReader{data: body})
+	req.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		// An unknown length makes the transport look for the end of the body,
+		// which it finds at once, and send no body.
+		req.ContentLength = -1
+	}
+}
+
+type sliceReader struct{ data []byte }
+
+func (s *sliceReader) Read(p []byte) (int, error) {
+	if len(s.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, s.data)
+	s.data = s.data[n:]
+	return n, nil
+}
+
+func metaOf(c *world.Call, clock timer.Service) *wire.CallMeta {
+	return &wire.CallMeta{
+		RequestId:   string(c.ID),
+		Customer:    string(c.Customer),
+		Service:     string(c.Service),
+		Route:       string(c.Route),
+		Importance:  uint32(c.Importance),
+		RemainingUs: (c.Deadline - clock.Now()).Microseconds(),
+		Budget:      int32(c.Budget),
+		Idempotent:  c.Idempotent,
+		Key:         c.Key,
+		Home:        string(c.Home),
+		Epoch:       uint64(c.Epoch),
+		Fingerprint: c.Fingerprint,
+	}
+}
+
+func readReply(id world.RequestID, resp *http.Response, body []byte) (*world.Reply, error) {
+	raw, err := base64.StdEncoding.DecodeString(resp.Header.Get(headerReply))
+	meta := &wire.ReplyMeta{}
+	if err == nil {
+		err = proto.Unmarshal(raw, meta)
+	}
+	if err != nil {
+		return nil, errors.Wrap(node.ErrBroken, "reply meta")
+	}
+	if world.RequestID(meta.GetRequestId()) != id {
+		return nil, errors.Wrap(node.ErrBroken, "reply belongs to another request")
+	}
+	resp.Header.Del(headerReply)
+	return &world.Reply{
+		Status:     resp.StatusCode,
+		Header:     resp.Header,
+		Body:       body,
+		Code:       world.Code(meta.GetCode()),
+		Run:        world.Run(meta.GetRun()),
+		RetryAfter: time.Duration(meta.GetRetryAfterMs()) * time.Millisecond,
+		BudgetLeft: int(meta.GetBudgetLeft()),
+		Level:      meta.GetLevel(),
+		Load:       int(meta.GetLoad()),
+		Limit:      int(meta.GetLimit()),
+		Draining:   meta.GetDraining(),
+		Final:      meta.GetFinal(),
+	}, nil
+}
+
+// serveForward serves a call that another node forwards.
+func (s *Server) serveForward(w http.ResponseWriter, r *http.Request) {
+	if !sameSecret(r.Header.Get(headerSecret), s.secret) {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	c, err := s.readCall(w, r)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	answered := make(chan *world.Reply, 1)
+	cancel := s.handler.ServePeer(c, func(reply *world.Reply) { answered <- reply })
+	select {
+	case reply := <-answered:
+		writeReply(w, c.ID, reply)
+	case <-r.Context().Done():
+		cancel()
+	}
+}
+
+func sameSecret(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
+
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (*world.Call, error) {
+	raw, err := base64.StdEncoding.DecodeString(r.Header.Get(headerCall))
+	if err != nil {
+		return nil, errors.Wrap(err, "call meta")
+	}
+	meta := &wire.CallMeta{}
+	if err := proto.Unmarshal(raw, meta); err != nil {
+		return nil, errors.Wrap(err, "call meta")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "call body")
+	}
+	r.Header.Del(headerCall)
+	r.Header.Del(headerSecret)
+	return &world.Call{
+		ID:          world.RequestID(meta.GetRequestId()),
+		Customer:    world.CustomerID(meta.GetCustomer()),
+		Service:     world.ServiceID(meta.GetService()),
+		Route:       world.RouteID(meta.GetRoute()),
+		Importance:  world.Importance(meta.GetImportance()),
+		Deadline:    s.clock.Now() + time.Duration(meta.GetRemainingUs())*time.Microsecond,
+		Budget:      int(meta.GetBudget()),
+		Idempotent:  meta.GetIdempotent(),
+		Key:         meta.GetKey(),
+		Home:        world.DomainID(meta.GetHome()),
+		Epoch:       world.Epoch(meta.GetEpoch()),
+		Fingerprint: meta.GetFingerprint(),
+		Method:      r.Method,
+		Path:        r.URL.RequestURI(),
+		Header:      r.Header,
+		Body:        body,
+	}, nil
+}
+
+func writeReply(w http.ResponseWriter, id world.RequestID, r *world.Reply) {
+	meta, err := proto.Marshal(&wire.ReplyMeta{
+		RequestId:    string(id),
+		Code:         string(r.Code),
+		Run:          uint32(r.Run),
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+		BudgetLeft:   int32(r.BudgetLeft),
+		Level:        r.Level,
+		Load:         int32(r.Load),
+		Limit:        int32(r.Limit),
+		Draining:     r.Draining,
+		Final:        r.Final,
+	})
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	for name, values := range r.Header {
+		h[name] = values
+	}
+	h.Set(headerReply, base64.StdEncoding.EncodeToString(meta))
+	h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.Body)
+}
