Serve calls end to end as separate processes; stand-ins and demo

Cause: the thin whole path did not exist as processes. Change: stand-ins for the platform, upstreams and load, the deployments of both users, scripts that start and stop them, make demo. Ruled out: tally's cardinality metrics, whose names the Prometheus reporter refuses (the node panicked at start); they are turned off.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Tasks of the project. `make demo` and `make test` are all that a newcomer needs.
+SEED ?= 1
+
+.PHONY: all build demo test lint bench soak chaos scenarios fuzz generate
+
+all: lint test
+
+build:
+	go build -o bin/ ./cmd/...
+
+# DEMO=tallapoosa (default) or DEMO=exchange
+demo: build
+	./scripts/demo.sh
+
+test:
+	go test ./...
+
+lint:
+	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+# Long randomised runs of the promises, from the given seed on.
+soak:
+	WAGTAILYOKE_SOAK=$(SEED) go test -count=1 -timeout 60m -run 'TestSoak' -v ./core/node
+
+# Real processes under kill, freeze and platform outage.
+chaos: build
+	./scripts/chaos.sh
+
+# The overload scenarios against the baseline; results in out/.
+scenarios: build
+	./scripts/scenarios.sh
+
+# Regenerates core/wire; needs protoc and the plugins named in wire.proto.
+generate:
+	protoc -I. --go_out=. --go_opt=module=wagtailyoke --go-drpc_out=. --go-drpc_opt=module=wagtailyoke core/wire/wire.proto
--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,367 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"wagtailyoke/core/node"
+	"wagtailyoke/io/httpx"
+)
+
+// loadCommand sends an open-loop load to a deployment: through its nodes, or
+// straight at the twins of its upstreams with naive client retries.
+type loadCommand struct {
+	Dir      string  `long:"dir" required:"true" description:"folder that 'standin fleet' wrote"`
+	Mode     string  `long:"mode" default:"nodes" choice:"nodes" choice:"direct"`
+	Scenario string  `long:"scenario" default:"mixed" description:"mixed, surge, slow, greedy, skew, cold, internal, latency"`
+	Seconds  float64 `long:"seconds" default:"10" description:"length of a scenario without phases of its own"`
+	Rate     float64 `long:"rate" default:"0.6" description:"load as a share of capacity, for mixed"`
+	Seed     int64   `long:"seed" default:"1"`
+	Out      string  `long:"out" description:"file for the measures as JSON"`
+}
+
+// Timing of callers.
+const (
+	callTimeout  = 2 * time.Second
+	retryPause   = 100 * time.Millisecond
+	mostAttempts = 4
+)
+
+// phase is a part of a scenario.
+type phase struct {
+	name    string
+	seconds float64
+	// load is the offered load as a share of capacity.
+	load float64
+	// enter runs at the phase's start.
+	enter func(l *load)
+}
+
+// load is one run.
+type load struct {
+	options *loadCommand
+	d       *deployment
+	client  *http.Client
+	record  *recorder
+	start   time.Time
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// greedy multiplies the load of the first customer.
+	greedy float64
+	// onlyDomain sends the first customer's calls to one failure domain.
+	onlyDomain string
+	waitGroup  sync.WaitGroup
+}
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	text, err := os.ReadFile(filepath.Join(c.Dir, "deployment.json"))
+	if err != nil {
+		return err
+	}
+	d := &deployment{}
+	if err := json.Unmarshal(text, d); err != nil {
+		return err
+	}
+	l := newLoad(c, d)
+	if c.Scenario == "latency" {
+		return l.compareLatency()
+	}
+	phases, err := l.phases()
+	if err != nil {
+		return err
+	}
+	l.run(phases)
+	m := l.record.measures(l, phases)
+	m.print(os.Stdout)
+	if c.Out == "" {
+		return nil
+	}
+	encoded, err := json.MarshalIndent(m, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.Out, encoded, 0o600)
+}
+
+func newLoad(c *loadCommand, d *deployment) *load {
+	const idle = 2000
+	return &load{
+		options: c,
+		d:       d,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle, MaxIdleConns: 0, DisableCompression: true}},
+		record:  newRecorder(d),
+		random:  rand.New(rand.NewSource(c.Seed)),
+		greedy:  1,
+	}
+}
+
+// phases returns the scenario's phases. Each starts with a calm one, to compare with.
+func (l *load) phases() ([]phase, error) {
+	const calm = 0.6
+	slowService := l.d.Mix[0].Visits[len(l.d.Mix[0].Visits)-1]
+	switch l.options.Scenario {
+	case "mixed":
+		return []phase{{name: "mixed", seconds: l.options.Seconds, load: l.options.Rate}}, nil
+	case "surge":
+		return []phase{
+			{name: "calm", seconds: 6, load: calm},
+			{name: "surge", seconds: 20, load: 3},
+			{name: "after", seconds: 10, load: calm},
+		}, nil
+	case "slow":
+		return []phase{
+			{name: "calm", seconds: 6, load: 0.9},
+			{name: "slow", seconds: 15, load: 0.9, enter: func(l *load) { l.slow(slowService, 10) }},
+			{name: "surge", seconds: 5, load: 3, enter: func(l *load) { l.slow(slowService, 1) }},
+			{name: "after", seconds: 15, load: 0.9},
+		}, nil
+	case "greedy", "skew":
+		enter := func(l *load) {
+			l.greedy = 5
+			if l.options.Scenario == "skew" {
+				l.onlyDomain = l.d.Domains[0]
+			}
+		}
+		return []phase{
+			{name: "calm", seconds: 6, load: calm},
+			{name: "greedy", seconds: 20, load: calm, enter: enter},
+		}, nil
+	default:
+		return nil, fmt.Errorf("no scenario %q", l.options.Scenario)
+	}
+}
+
+// slow multiplies the service times of a service.
+func (l *load) slow(service string, factor float64) {
+	for _, e := range l.d.Endpoints {
+		if e.Service != service {
+			continue
+		}
+		address := e.Upstream
+		if l.options.Mode == "direct" {
+			address = e.Direct
+		}
+		resp, err := l.client.Post(fmt.Sprintf("http://%s/control/slow?factor=%g", address, factor), "", nil)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+}
+
+// run offers calls at exponential intervals, whatever becomes of earlier ones.
+func (l *load) run(phases []phase) {
+	l.start = time.Now()
+	next := time.Duration(0)
+	end := time.Duration(0)
+	for _, p := range phases {
+		if p.enter != nil {
+			p.enter(l)
+		}
+		end += time.Duration(p.seconds * float64(time.Second))
+		rate := p.load * l.d.Capacity * l.greedyLoad()
+		for next < end {
+			next += time.Duration(l.random.ExpFloat64() / rate * float64(time.Second))
+			time.Sleep(time.Until(l.start.Add(next)))
+			l.offer()
+		}
+	}
+	l.waitGroup.Wait()
+}
+
+// greedyLoad is the factor by which the first customer's excess raises the total.
+func (l *load) greedyLoad() float64 { return 1 + (l.greedy-1)*l.d.Customers[0].Share }
+
+// offer starts one request on its own goroutine.
+func (l *load) offer() {
+	r := l.pick()
+	l.waitGroup.Add(1)
+	go func() {
+		defer l.waitGroup.Done()
+		l.send(r)
+	}()
+}
+
+// request is one request of a caller, with its retries.
+type request struct {
+	customer int
+	call     *call
+	domain   string
+	path     string
+	key      string
+	at       time.Duration
+	isInside bool
+}
+
+func (l *load) pick() *request {
+	r := &request{at: time.Since(l.start)}
+	l.mu.Lock()
+	r.customer = l.pickCustomer()
+	r.call = l.pickCall()
+	item := l.random.Intn(1000)
+	l.mu.Unlock()
+	if r.customer == 0 {
+		r.domain = l.onlyDomain
+	}
+	r.path = r.call.Path
+	if r.call.Reserve {
+		id, err := uuid.NewV7()
+		if err == nil {
+			r.key = id.String()
+		}
+	} else {
+		r.path += separatorOf(r.path) + fmt.Sprintf("item=%d", item)
+	}
+	r.isInside = l.record.offered(r)
+	return r
+}
+
+func separatorOf(path string) string {
+	if bytes.ContainsRune([]byte(path), '?') {
+		return "&"
+	}
+	return "?"
+}
+
+func (l *load) pickCustomer() int {
+	draw := l.random.Float64() * l.greedyLoad()
+	for i, c := range l.d.Customers {
+		share := c.Share
+		if i == 0 {
+			share *= l.greedy
+		}
+		if draw < share {
+			return i
+		}
+		draw -= share
+	}
+	return len(l.d.Customers) - 1
+}
+
+func (l *load) pickCall() *call {
+	draw := l.random.Float64()
+	for i := range l.d.Mix {
+		if draw < l.d.Mix[i].Share {
+			return &l.d.Mix[i]
+		}
+		draw -= l.d.Mix[i].Share
+	}
+	return &l.d.Mix[0]
+}
+
+// send tries a request until it succeeds, its time is over or it may not be sent
+// again. Callers retry hard: after a short pause, whatever they were told.
+func (l *load) send(r *request) {
+	deadline := time.Now().Add(callTimeout)
+	started := time.Now()
+	result := outcome{}
+	for attempt := range mostAttempts {
+		if attempt > 0 {
+			time.Sleep(retryPause)
+		}
+		left := time.Until(deadline)
+		if left <= 0 {
+			break
+		}
+		result = l.try(r, left)
+		l.record.attempt(r, result)
+		if result.ok || !result.mayRetry(r, l.options.Mode) {
+			break
+		}
+	}
+	l.record.ended(r, result, time.Since(started))
+}
+
+// outcome is how an attempt ended.
+type outcome struct {
+	ok     bool
+	status int
+	code   string
+	run    string
+}
+
+// mayRetry: a caller resends a reservation with its key, since the system promises
+// that it runs once. Without nodes nobody promises that, so it is given up.
+func (o outcome) mayRetry(r *request, mode string) bool {
+	if o.status == http.StatusUnauthorized || o.status == http.StatusNotFound {
+		return false
+	}
+	return !r.call.Reserve || mode == "nodes"
+}
+
+func (l *load) try(r *request, left time.Duration) outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	var body io.Reader
+	if r.call.Reserve {
+		body = bytes.NewReader([]byte(`{"lot":1}`))
+	}
+	req, err := http.NewRequestWithContext(ctx, r.call.Method, "http://"+l.address(r)+r.path, body)
+	if err != nil {
+		return outcome{}
+	}
+	req.GetBody = nil
+	if l.options.Mode == "nodes" {
+		req.Header.Set(node.HeaderKey, l.d.Customers[r.customer].Key)
+	}
+	if r.key != "" {
+		req.Header.Set(node.HeaderIdempotencyKey, r.key)
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return outcome{code: "connection"}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	value, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return outcome{code: "connection"}
+	}
+	return judge(r, resp, value)
+}
+
+// judge checks that the answer is whole and belongs to the request.
+func judge(r *request, resp *http.Response, value []byte) outcome {
+	o := outcome{status: resp.StatusCode}
+	if resp.Header.Get("Content-Type") == httpx.ProblemType {
+		p := httpx.Problem{}
+		if json.Unmarshal(value, &p) == nil {
+			o.code, o.run = p.Code, p.Run
+		}
+		return o
+	}
+	answer := struct {
+		Key string `json:"key"`
+	}{}
+	o.ok = resp.StatusCode == http.StatusOK && json.Unmarshal(value, &answer) == nil && answer.Key == r.key
+	return o
+}
+
+// address picks an endpoint of the service at random, as callers with a list do.
+func (l *load) address(r *request) string {
+	var addresses []string
+	for _, e := range l.d.Endpoints {
+		if e.Service != r.call.Service || r.domain != "" && e.Domain != r.domain {
+			continue
+		}
+		if l.options.Mode == "direct" {
+			addresses = append(addresses, e.Direct)
+		} else {
+			addresses = append(addresses, e.Public)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return addresses[l.random.Intn(len(addresses))]
+}
--- /dev/null
+++ b/cmd/standin/measure.go
@@ -0,0 +1,336 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// recorder takes down what becomes of requests.
+type recorder struct {
+	d *deployment
+
+	mu        sync.Mutex
+	customers []tally
+	seconds   []second
+	codes     map[string]int
+	attempts  int
+	// meters tell whether a request was inside its customer's rate and burst.
+	meters []meter
+	// shedCritical counts refusals of critical calls for lack of capacity.
+	shedCritical int
+	criticals    int
+	latency      *hdrhistogram.Histogram
+}
+
+type tally struct {
+	offered       int
+	inside        int
+	served        int
+	servedInside  int
+	refusedInside int
+}
+
+// second is one second of the run.
+type second struct {
+	Offered int `json:"offered"`
+	Good    int `json:"good"`
+}
+
+// meter is a token bucket.
+type meter struct {
+	tokens float64
+	at     time.Duration
+}
+
+// Bounds of the latency histogram, in microseconds.
+const (
+	leastLatency = 1
+	mostLatency  = 60_000_000
+	latencyDigit = 3
+)
+
+func newRecorder(d *deployment) *recorder {
+	r := &recorder{
+		d:         d,
+		customers: make([]tally, len(d.Customers)),
+		meters:    make([]meter, len(d.Customers)),
+		codes:     map[string]int{},
+		latency:   hdrhistogram.New(leastLatency, mostLatency, latencyDigit),
+	}
+	for i, c := range d.Customers {
+		r.meters[i].tokens = c.Burst
+	}
+	return r
+}
+
+func (r *recorder) second(at time.Duration) *second {
+	i := int(at / time.Second)
+	for len(r.seconds) <= i {
+		r.seconds = append(r.seconds, second{})
+	}
+	return &r.seconds[i]
+}
+
+// offered counts a request and tells whether it is inside its customer's rate.
+func (r *recorder) offered(q *request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.customers[q.customer]
+	c.offered++
+	r.second(q.at).Offered++
+	if q.call.Critical {
+		r.criticals++
+	}
+	isInside := r.meters[q.customer].take(r.d.Customers[q.customer], q.at)
+	if isInside {
+		c.inside++
+	}
+	return isInside
+}
+
+func (m *meter) take(c customer, at time.Duration) bool {
+	m.tokens = min(c.Burst, m.tokens+c.Rate*(at-m.at).Seconds())
+	m.at = at
+	if m.tokens < 1 {
+		return false
+	}
+	m.tokens--
+	return true
+}
+
+func (r *recorder) attempt(q *request, o outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts++
+	if o.ok {
+		return
+	}
+	code := o.code
+	if code == "" {
+		code = fmt.Sprintf("status%d", o.status)
+	}
+	r.codes[code]++
+	if q.isInside && o.status == http.StatusTooManyRequests {
+		r.customers[q.customer].refusedInside++
+	}
+}
+
+func (r *recorder) ended(q *request, o outcome, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !o.ok {
+		if q.call.Critical {
+			r.shedCritical++
+		}
+		return
+	}
+	r.customers[q.customer].served++
+	if q.isInside {
+		r.customers[q.customer].servedInside++
+	}
+	r.second(q.at+took).Good++
+	_ = r.latency.RecordValue(took.Microseconds())
+}
+
+// measures are the results of a run.
+type measures struct {
+	Deployment string         `json:"deployment"`
+	Mode       string         `json:"mode"`
+	Scenario   string         `json:"scenario"`
+	Seed       int64          `json:"seed"`
+	Capacity   float64        `json:"capacity"`
+	Phases     []phaseMeasure `json:"phases"`
+	// RecoverySeconds is the time from the end of the last disturbance until
+	// goodput is back at 95 % of the calm phase's for two seconds; -1 is never.
+	RecoverySeconds float64 `json:"recoverySeconds"`
+	// WorstServed is the least share of requests inside the rate that a customer,
+	// other than a greedy one, got served.
+	WorstServed   float64 `json:"worstServed"`
+	WorstCustomer string  `json:"worstCustomer"`
+	// RefusedInside is the share of requests inside their customer's rate that were
+	// refused for the rate.
+	RefusedInside float64 `json:"refusedInside"`
+	// CriticalLost is the share of critical requests that failed.
+	CriticalLost float64 `json:"criticalLost"`
+	// AttemptsPerRequest counts callers' resends.
+	AttemptsPerRequest float64        `json:"attemptsPerRequest"`
+	P50Ms              float64        `json:"p50Ms"`
+	P99Ms              float64        `json:"p99Ms"`
+	Codes              map[string]int `json:"codes"`
+	Seconds            []second       `json:"seconds"`
+}
+
+type phaseMeasure struct {
+	Name    string  `json:"name"`
+	Seconds float64 `json:"seconds"`
+	// Offered and Good are requests per second; Good were answered whole in time.
+	Offered float64 `json:"offered"`
+	Good    float64 `json:"good"`
+	// OfCapacity is Good as a share of what was offered or of the capacity, the lesser.
+	OfCapacity float64 `json:"ofCapacity"`
+}
+
+const microsPerMs = 1000
+
+func (r *recorder) measures(l *load, phases []phase) *measures {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := &measures{
+		Deployment: r.d.Name, Mode: l.options.Mode, Scenario: l.options.Scenario, Seed: l.options.Seed,
+		Capacity: r.d.Capacity, Codes: r.codes, Seconds: r.seconds, WorstServed: 1,
+		P50Ms: float64(r.latency.ValueAtQuantile(50)) / microsPerMs,
+		P99Ms: float64(r.latency.ValueAtQuantile(99)) / microsPerMs,
+	}
+	from := 0
+	for _, p := range phases {
+		to := from + int(p.seconds)
+		m.Phases = append(m.Phases, r.phase(p, from, to))
+		from = to
+	}
+	m.RecoverySeconds = r.recovery(phases)
+	r.sumCustomers(l, m)
+	return m
+}
+
+func (r *recorder) phase(p phase, from, to int) phaseMeasure {
+	offered, good := 0, 0
+	for i := from; i < to && i < len(r.seconds); i++ {
+		offered += r.seconds[i].Offered
+		good += r.seconds[i].Good
+	}
+	n := float64(max(1, to-from))
+	result := phaseMeasure{Name: p.name, Seconds: p.seconds, Offered: float64(offered) / n, Good: float64(good) / n}
+	if possible := min(result.Offered, r.d.Capacity); possible > 0 {
+		result.OfCapacity = result.Good / possible
+	}
+	return result
+}
+
+func (r *recorder) recovery(phases []phase) float64 {
+	const wanted = 0.95
+	if len(phases) < 3 {
+		return 0
+	}
+	calm := r.phase(phases[0], 1, int(phases[0].seconds)).Good
+	start := 0
+	for _, p := range phases[:len(phases)-1] {
+		start += int(p.seconds)
+	}
+	for i := start; i+1 < len(r.seconds); i++ {
+		if float64(r.seconds[i].Good+r.seconds[i+1].Good) >= 2*wanted*calm {
+			return float64(i - start)
+		}
+	}
+	return -1
+}
+
+func (r *recorder) sumCustomers(l *load, m *measures) {
+	inside, refused, requests := 0, 0, 0
+	for i, c := range r.customers {
+		requests += c.offered
+		isGreedy := i == 0 && l.greedy > 1
+		if isGreedy {
+			continue
+		}
+		inside += c.inside
+		refused += c.refusedInside
+		if c.inside == 0 {
+			continue
+		}
+		if share := float64(c.servedInside) / float64(c.inside); share < m.WorstServed {
+			m.WorstServed, m.WorstCustomer = share, r.d.Customers[i].ID
+		}
+	}
+	m.RefusedInside = float64(refused) / float64(max(1, inside))
+	m.CriticalLost = float64(r.shedCritical) / float64(max(1, r.criticals))
+	m.AttemptsPerRequest = float64(r.attempts) / float64(max(1, requests))
+}
+
+func (m *measures) print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%s, %s, %s, seed %d: capacity %.0f requests/s\n", m.Deployment, m.Scenario, m.Mode, m.Seed, m.Capacity)
+	for _, p := range m.Phases {
+		_, _ = fmt.Fprintf(w, "  %-8s offered %7.1f/s  whole %7.1f/s  %5.1f %% of what was possible\n", p.Name, p.Offered, p.Good, 100*p.OfCapacity)
+	}
+	_, _ = fmt.Fprintf(w, "  recovery %.0f s; worst-served customer %s %.2f %%; refused inside the rate %.3f %%\n",
+		m.RecoverySeconds, m.WorstCustomer, 100*m.WorstServed, 100*m.RefusedInside)
+	_, _ = fmt.Fprintf(w, "  critical lost %.2f %%; attempts per request %.2f; latency p50 %.1f ms, p99 %.1f ms\n",
+		100*m.CriticalLost, m.AttemptsPerRequest, m.P50Ms, m.P99Ms)
+	codes := make([]string, 0, len(m.Codes))
+	for code := range m.Codes {
+		codes = append(codes, code)
+	}
+	sort.Strings(codes)
+	for _, code := range codes {
+		_, _ = fmt.Fprintf(w, "    %-24s %d\n", code, m.Codes[code])
+	}
+}
+
+// compareLatency sends single calls by turns straight to an upstream and through
+// its node, and prints what the node adds.
+func (l *load) compareLatency() error {
+	const rounds = 3000
+	const pause = 2 * time.Millisecond
+	e := l.d.Endpoints[0]
+	path := l.fastPath(e.Service)
+	direct := hdrhistogram.New(leastLatency, mostLatency, latencyDigit)
+	through := hdrhistogram.New(leastLatency, mostLatency, latencyDigit)
+	failed := 0
+	for range rounds {
+		for _, side := range []struct {
+			address string
+			h       *hdrhistogram.Histogram
+		}{{e.Upstream, direct}, {e.Public, through}} {
+			took, ok := l.timeCall(side.address, http.MethodGet, path)
+			if !ok {
+				failed++
+				continue
+			}
+			_ = side.h.RecordValue(took.Microseconds())
+			time.Sleep(pause)
+		}
+	}
+	for _, q := range []float64{50, 90, 99} {
+		d, t := direct.ValueAtQuantile(q), through.ValueAtQuantile(q)
+		_, _ = fmt.Fprintf(os.Stdout, "p%-3.0f direct %7.3f ms  through its node %7.3f ms  added %6.3f ms\n",
+			q, float64(d)/microsPerMs, float64(t)/microsPerMs, float64(t-d)/microsPerMs)
+	}
+	_, _ = fmt.Fprintf(os.Stdout, "%d of %d calls failed\n", failed, 2*rounds)
+	return nil
+}
+
+// fastPath is a lookup of a service that its stand-in answers at once.
+func (l *load) fastPath(service string) string {
+	for _, c := range l.d.Mix {
+		if c.Service == service && !c.Reserve {
+			path, _, _ := strings.Cut(c.Path, "?")
+			return path + "?fast=1"
+		}
+	}
+	return "/"
+}
+
+func (l *load) timeCall(address, method, path string) (time.Duration, bool) {
+	req, err := http.NewRequest(method, "http://"+address+path, nil)
+	if err != nil {
+		return 0, false
+	}
+	if l.options.Mode == "nodes" {
+		req.Header.Set("X-Api-Key", l.d.Customers[0].Key)
+	}
+	start := time.Now()
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return time.Since(start), err == nil && resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/cmd/standin/upstream.go
@@ -0,0 +1,356 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"wagtailyoke/core/node"
+	"wagtailyoke/io/httpx"
+)
+
+// upstreamCommand serves one endpoint of a service. A path's query steers a call:
+//
+//	child=/pricebook/price     call another route through egress, may be repeated
+//	crash=1                    end the process
+//	fast=1                     spend no service time
+//
+// Controls for tests, on the same listener:
+//
+//	POST /control/slow?factor=F   multiply service times
+//	POST /control/fail?share=S    answer a share of calls with 500
+//	POST /control/drain           announce draining, finish what runs
+//	GET  /control/log             what ran: request id, path, idempotency key
+//	GET  /healthz, /load          lag behind by 10 s
+type upstreamCommand struct {
+	Listen  string `long:"listen" required:"true"`
+	Service string `long:"service" required:"true"`
+	Ops     string `long:"ops" description:"ops address of its node"`
+	Egress  string `long:"egress" description:"egress address of its node, or a direct address list with --direct"`
+	Direct  string `long:"direct" description:"JSON file of service to addresses, to call without nodes"`
+	Secret  string `long:"secret" env:"WAGTAILYOKE_SECRET"`
+	Slots   int    `long:"slots" default:"60"`
+	Queue   int    `long:"queue" default:"60"`
+	TimeUs  int    `long:"time-us" default:"5000" description:"mean service time"`
+	ColdMs  int    `long:"cold-ms" default:"500" description:"time until warm: service times start at 4 times the mean"`
+	Seed    int64  `long:"seed" default:"1"`
+}
+
+// upstream is one endpoint.
+type upstream struct {
+	options *upstreamCommand
+	start   time.Time
+	slots   chan struct{}
+	waiting atomic.Int64
+	slow    atomic.Int64
+	failing atomic.Int64
+	drains  atomic.Bool
+	client  *http.Client
+	direct  map[string][]string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	log    []ran
+	next   int
+	sawKey bool
+}
+
+// ran is an entry of the log: one call that began to run.
+type ran struct {
+	Request string `json:"request"`
+	Path    string `json:"path"`
+	Key     string `json:"key"`
+	Done    bool   `json:"done"`
+}
+
+const (
+	percent     = 100
+	coldFactor  = 4
+	mostLogged  = 400_000
+	retryAfter  = "1"
+	childBudget = 5 * time.Second
+)
+
+// Execute implements flags.Commander.
+func (c *upstreamCommand) Execute([]string) error {
+	u := &upstream{
+		options: c,
+		start:   time.Now(),
+		slots:   make(chan struct{}, c.Slots),
+		random:  rand.New(rand.NewSource(c.Seed)),
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: childBudget},
+	}
+	u.slow.Store(percent)
+	if c.Direct != "" {
+		text, err := os.ReadFile(c.Direct)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(text, &u.direct); err != nil {
+			return err
+		}
+	}
+	server := &http.Server{Addr: c.Listen, Handler: u}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go u.announce("ready")
+	go func() {
+		<-ctx.Done()
+		u.announce("draining")
+		const drainTime = 500 * time.Millisecond
+		time.Sleep(drainTime)
+		_ = server.Shutdown(context.Background())
+	}()
+	err := server.ListenAndServe()
+	if err == http.ErrServerClosed {
+		time.Sleep(time.Millisecond)
+		return nil
+	}
+	return err
+}
+
+// announce tells the node the state, until it is told.
+func (u *upstream) announce(state string) {
+	if u.options.Ops == "" {
+		return
+	}
+	for range percent {
+		body, _ := json.Marshal(httpx.Announcement{State: state})
+		req, err := http.NewRequest(http.MethodPost, "http://"+u.options.Ops+"/upstream", bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		req.Header.Set(httpx.HeaderSecret, u.options.Secret)
+		resp, err := u.client.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusNoContent {
+				return
+			}
+		}
+		const pause = 100 * time.Millisecond
+		time.Sleep(pause)
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/control/"):
+		u.control(w, r)
+	case r.URL.Path == "/healthz":
+		w.WriteHeader(http.StatusOK)
+	case r.URL.Path == "/load":
+		_, _ = fmt.Fprintln(w, 0)
+	default:
+		u.serve(w, r)
+	}
+}
+
+func (u *upstream) control(w http.ResponseWriter, r *http.Request) {
+	switch strings.TrimPrefix(r.URL.Path, "/control/") {
+	case "slow":
+		factor, _ := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+		u.slow.Store(int64(factor * percent))
+	case "fail":
+		share, _ := strconv.ParseFloat(r.URL.Query().Get("share"), 64)
+		u.failing.Store(int64(share * percent))
+	case "drain":
+		u.drains.Store(true)
+		u.announce("draining")
+	case "log":
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(struct {
+			SawKey bool  `json:"sawKey"`
+			Ran    []ran `json:"ran"`
+		}{u.sawKey, u.log})
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
+	u.noteKey(r)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if !u.enter(r.Context()) {
+		w.Header().Set("Retry-After", retryAfter)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-u.slots }()
+	if r.URL.Query().Get("crash") != "" {
+		const crashed = 3
+		os.Exit(crashed)
+	}
+	entry := u.note(r)
+	if r.URL.Query().Get("fast") == "" && !u.work(r.Context()) {
+		return
+	}
+	if !u.callChildren(w, r, body) {
+		return
+	}
+	u.finish(entry)
+	if u.draw(percent) < int(u.failing.Load()) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	const answerBytes = 500
+	answer := fmt.Sprintf(`{"service":%q,"path":%q,"key":%q,"pad":%q}`, u.options.Service, r.URL.Path, r.Header.Get(node.HeaderIdempotencyKey), strings.Repeat("x", answerBytes))
+	_, _ = io.WriteString(w, answer)
+}
+
+// enter takes a slot, waits in a bounded queue, or sheds.
+func (u *upstream) enter(ctx context.Context) bool {
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if u.waiting.Add(1) > int64(u.options.Queue) {
+		u.waiting.Add(-1)
+		return false
+	}
+	defer u.waiting.Add(-1)
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (u *upstream) noteKey(r *http.Request) {
+	if r.Header.Get(node.HeaderKey) == "" && r.Header.Get(node.HeaderAuthorization) == "" {
+		return
+	}
+	u.mu.Lock()
+	u.sawKey = true
+	u.mu.Unlock()
+}
+
+func (u *upstream) note(r *http.Request) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.log) >= mostLogged {
+		return -1
+	}
+	u.log = append(u.log, ran{
+		Request: r.Header.Get(node.HeaderRequestID),
+		Path:    r.URL.Path,
+		Key:     r.Header.Get(node.HeaderIdempotencyKey),
+	})
+	return len(u.log) - 1
+}
+
+func (u *upstream) finish(entry int) {
+	if entry < 0 {
+		return
+	}
+	u.mu.Lock()
+	u.log[entry].Done = true
+	u.mu.Unlock()
+}
+
+func (u *upstream) draw(n int) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.random.Intn(n)
+}
+
+// work spends the service time, or stops when the call is cancelled.
+func (u *upstream) work(ctx context.Context) bool {
+	u.mu.Lock()
+	factor := 0.5 + u.random.Float64()
+	u.mu.Unlock()
+	factor *= float64(u.slow.Load()) / percent
+	age := time.Since(u.start)
+	cold := time.Duration(u.options.ColdMs) * time.Millisecond
+	if age < cold {
+		factor *= coldFactor - (coldFactor-1)*float64(age)/float64(cold)
+	}
+	timer := time.NewTimer(time.Duration(float64(u.options.TimeUs)*factor) * time.Microsecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// callChildren makes the child calls of the query, one after another. A failed
+// child call fails the call.
+func (u *upstream) callChildren(w http.ResponseWriter, r *http.Request, body []byte) bool {
+	children := r.URL.Query()["child"]
+	if len(children) == 0 {
+		return true
+	}
+	path := children[0]
+	separator := "?"
+	for _, rest := range children[1:] {
+		path += separator + "child=" + rest
+		separator = "&"
+	}
+	for range u.attempts() {
+		if u.callChild(r, path) {
+			return true
+		}
+	}
+	w.WriteHeader(http.StatusBadGateway)
+	return false
+}
+
+// attempts is how often a child call is tried. Without nodes, a service retries
+// on its own, as callers of naive services do.
+func (u *upstream) attempts() int {
+	const naiveAttempts = 3
+	if u.direct != nil {
+		return naiveAttempts
+	}
+	return 1
+}
+
+func (u *upstream) callChild(r *http.Request, path string) bool {
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+u.childAddress(path)+path, nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set(node.HeaderContext, r.Header.Get(node.HeaderContext))
+	resp, err := u.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// childAddress is the node's egress, or an endpoint in turn.
+func (u *upstream) childAddress(path string) string {
+	if u.direct == nil {
+		return u.options.Egress
+	}
+	service := strings.SplitN(strings.TrimPrefix(path, "/"), "/", 2)[0]
+	addresses := u.direct[service]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.next++
+	return addresses[u.next%len(addresses)]
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -52,9 +52,11 @@
 func New() (*Meter, io.Closer) {
 	reporter := prometheus.NewReporter(prometheus.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         prefix,
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Meter{scope: scope, reporter: reporter, counters: map[counterID]tally.Counter{}}, closer
 }
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Starts a whole deployment as plain processes on loopback, configures it through
+# the operator's commands, sends a mixed load, kills a node and the platform on
+# the way, and stops everything.
+#   DEMO=tallapoosa|exchange  SEED=n
+. "$(dirname "$0")/lib.sh"
+deployment=${DEMO:-tallapoosa}
+seed=${SEED:-1}
+trap stop_all EXIT
+
+write_fleet "$deployment" 1 21000
+say "$deployment: start the platform's stand-in, the nodes and their upstreams"
+start_all "$dir/platform.cmd"
+start_all "$dir/nodes.cmd"
+start_all "$dir/upstreams.cmd"
+say "configure through a plan and its confirmation"
+configure || exit 1
+await_ready || exit 1
+cat "$dir/status.txt"
+
+say "mixed load at 0.6 of capacity for 8 s, chains 3 deep through egress (seed $seed)"
+"$bin/standin" load --dir "$dir" --scenario mixed --seconds 8 --seed "$seed" --out "$dir/mixed.json" || exit 1
+
+say "the same load for 10 s; a node is killed after 2 s, the platform after 4 s"
+"$bin/standin" load --dir "$dir" --scenario mixed --seconds 10 --seed "$seed" >"$dir/faults.txt" &
+load=$!
+sleep 2
+victim=$(pid_of 'node --config.*-1.toml')
+kill -KILL "$victim"
+sleep 2
+kill -KILL "$(pid_of 'standin platform')"
+wait $load
+cat "$dir/faults.txt"
+
+say "what the upstreams saw"
+saw=0
+for address in $(sed -n 's/.*"upstream": "\(.*\)",/\1/p' "$dir/deployment.json"); do
+  curl -s "http://$address/control/log" | grep -q '"sawKey":true' && saw=1
+done
+if [ $saw = 1 ]; then echo "FAIL: an upstream saw a customer's key"; exit 1; fi
+echo "no upstream saw a customer's key"
+say "stop everything"
