--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -69,7 +69,6 @@
 	internal int
 	queued   int
 	classes  [world.ImportanceCount]class
-	closed   bool
 	// typical is a moving average of a call's time in the upstream.
 	typical time.Duration
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -63,8 +63,10 @@
 	Probe(done func(alive bool))
 }
 
-// Metrics counts refusals and retries by reason.
+// Metrics counts calls, and refusals and retries by reason.
 type Metrics interface {
+	// Admitted counts a call that spent one of its customer's tokens.
+	Admitted(customer world.CustomerID)
 	Served(route world.RouteID)
 	Refused(code world.Code)
 	Retried(reason world.Code)
--- a/core/node/serve.go
+++ b/core/node/serve.go
@@ -216,6 +216,7 @@
 			f.finish(world.Refuse(http.StatusTooManyRequests, world.CodeOverRate, world.RunNo, n.comeBack(time.Second)))
 			return
 		}
+		n.Metrics.Admitted(f.call.Customer)
 		f.begin()
 	})
 }
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"sort"
 	"sync"
 	"time"
 
@@ -295,11 +296,16 @@
 // sweepLocked writes off the books of grantees whose tokens have expired.
 func (l *Ledger) sweepLocked() {
 	now := l.clock.Now()
+	var expired []string
 	for grantee, b := range l.books {
 		if now-b.lastHeard > b.lifetime(l.lease) {
-			l.dropLocked(grantee)
+			expired = append(expired, grantee)
 		}
 	}
+	sort.Strings(expired)
+	for _, grantee := range expired {
+		l.dropLocked(grantee)
+	}
 }
 
 // lifetime is how long a grantee's tokens can live without contact. A leader's
@@ -317,7 +323,8 @@
 		return
 	}
 	delete(l.books, grantee)
-	for customer, e := range b.entries {
+	for _, customer := range sortedCustomers(b.entries) {
+		e := b.entries[customer]
 		a := l.accounts[customer]
 		l.earnLocked(a)
 		lost := e.outstanding()
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -7,16 +7,27 @@
 //	m.With(customer, func(entries map[world.CustomerID]*account) { ... })
 package shard
 
-import (
-	"hash/maphash"
-	"sync"
-)
+import "sync"
 
 const shardCount = 16
 
+// Constants of the FNV-1a hash. A fixed hash keeps the order of shards the same
+// in every run, so that a test with a seed can be repeated.
+const (
+	fnvOffset = 2166136261
+	fnvPrime  = 16777619
+)
+
+func shardOf(key string) uint32 {
+	h := uint32(fnvOffset)
+	for i := range len(key) {
+		h = (h ^ uint32(key[i])) * fnvPrime
+	}
+	return h % shardCount
+}
+
 // Map is a sharded map.
 type Map[K ~string, V any] struct {
-	seed   maphash.Seed
 	shards [shardCount]part[K, V]
 }
 
@@ -27,7 +38,7 @@
 
 // New returns an empty map.
 func New[K ~string, V any]() *Map[K, V] {
-	m := &Map[K, V]{seed: maphash.MakeSeed()}
+	m := &Map[K, V]{}
 	for i := range m.shards {
 		m.shards[i].entries = map[K]V{}
 	}
@@ -36,7 +47,7 @@
 
 // With calls f with the entries of the key's shard, under the shard's lock.
 func (m *Map[K, V]) With(key K, f func(entries map[K]V)) {
-	p := &m.shards[maphash.String(m.seed, string(key))%shardCount]
+	p := &m.shards[shardOf(string(key))]
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f(p.entries)
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -22,6 +22,7 @@
 
 // Names of the counters. docs/metrics.md lists them.
 const (
+	CounterAdmitted   = "admitted"
 	CounterServed     = "served"
 	CounterRefused    = "refused"
 	CounterRetried    = "retried"
@@ -64,6 +65,11 @@
 // Handler serves the counters.
 func (m *Meter) Handler() http.Handler { return m.reporter.HTTPHandler() }
 
+// Admitted counts a call that spent one of its customer's tokens.
+func (m *Meter) Admitted(customer world.CustomerID) {
+	m.counter(CounterAdmitted, "customer", string(customer)).Inc(1)
+}
+
 // Served counts a call that was answered by an upstream.
 func (m *Meter) Served(route world.RouteID) { m.counter(CounterServed, "route", string(route)).Inc(1) }
 
