--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -19,6 +19,8 @@
 	loanShare = 0.75
 	// writeOffMargin covers clock drift between grantor and grantee.
 	writeOffMargin = 200 * time.Millisecond
+	// urgentReserve is the part of the burst that is kept for calls that wait.
+	urgentReserve = 0.4
 	// shortMemory is how long an unmet want keeps a leader borrowing.
 	shortMemory = time.Second
 )
@@ -49,6 +51,9 @@
 
 	pool     Micro
 	earnedAt time.Duration
+	// missed is the inflow that found the burst used up by tokens that were not yet
+	// reported as spent. A report that they were spent earlier brings it back.
+	missed []inflow
 	// outstanding is granted and not reported spent or returned; lent is the part
 	// of it that other leaders hold.
 	outstanding Micro
@@ -60,6 +65,12 @@
 	shortAt time.Duration
 }
 
+// inflow is an amount of tokens that came evenly between two instants.
+type inflow struct {
+	from, to time.Duration
+	amount   Micro
+}
+
 type book struct {
 	id        uint64
 	isLeader  bool
@@ -170,7 +181,46 @@
 		return
 	}
 	earned := Micro(float64(a.part.Rate) * (now - from).Seconds())
-	a.pool = max(a.pool, min(a.pool+earned, l.roomLocked(a)))
+	accepted := max(0, min(earned, l.roomLocked(a)-a.pool))
+	a.pool += accepted
+	if accepted < earned {
+		// The first part of the inflow was accepted, the rest came later.
+		start := from + time.Duration(float64(now-from)*float64(accepted)/float64(earned))
+		a.miss(inflow{from: start, to: now, amount: earned - accepted})
+	}
+}
+
+// missedLife is how long missed inflow can come back.
+const missedLife = 2 * time.Second
+
+func (a *account) miss(in inflow) {
+	a.missed = append(a.missed, in)
+	old := 0
+	for old < len(a.missed) && a.missed[old].to < in.to-missedLife {
+		old++
+	}
+	a.missed = a.missed[old:]
+}
+
+// regain returns up to one token of the inflow that was missed after an instant at
+// which a token was spent: the spend had made room for it.
+func (a *account) regain(spentAt time.Duration) Micro {
+	wanted := Token
+	for i := range a.missed {
+		m := &a.missed[i]
+		if wanted == 0 || m.to <= spentAt || m.amount == 0 {
+			continue
+		}
+		if m.from < spentAt {
+			m.split(a, spentAt)
+			m = &a.missed[i]
+		}
+		taken := min(wanted, m.amount)
+		m.from += time.Duration(float64(m.to-m.from) * float64(taken) / float64(m.amount))
+		m.amount -= taken
+		wanted -= taken
+	}
+	return Token - wanted
 }
 
 // Serve answers a heartbeat's usages with grants.
@@ -228,9 +278,9 @@
 	}
 	l.reportLocked(customer, a, b, e, u)
 	l.earnLocked(a)
-	given := l.grantable(a, b, u.GetWant())
-	if !b.isLeader && given < u.GetWant() {
-		a.noteShort(u.GetWant()-given, l.clock.Now())
+	given := l.grantable(a, b, u)
+	if !b.isLeader && given < u.GetUrgent() {
+		a.noteShort(u.GetUrgent()-given, l.clock.Now())
 	}
 	e.granted += given
 	l.moveLocked(a, b, Micro(given)*Token)
@@ -266,23 +316,46 @@
 	l.earnLocked(a)
 	l.moveLocked(a, b, -Micro(spent+returned)*Token)
 	a.pool += Micro(returned) * Token
-	l.consumeBorrowedLocked(customer, a, spent)
+	borrowed := l.consumeBorrowedLocked(customer, a, spent)
+	// A borrowed token that is spent makes room at its lender, not here.
+	l.regainLocked(a, spent-borrowed, u.GetAgesMs())
+}
+
+// regainLocked brings back missed inflow for newly reported spends. The ages are
+// those of the last spends, so the newest ones belong to the new spends. They count
+// from the message's arrival, which makes them look younger than they are.
+func (l *Ledger) regainLocked(a *account, spent int64, agesMs []int64) {
+	first := max(0, len(agesMs)-int(spent))
+	now := l.clock.Now()
+	for _, age := range agesMs[first:] {
+		back := a.regain(now - time.Duration(age)*time.Millisecond)
+		a.pool += max(0, min(back, l.roomLocked(a)-a.pool))
+	}
 }
 
 // consumeBorrowedLocked counts spent tokens against loans first, so that the
-// lenders may earn again.
-func (l *Ledger) consumeBorrowedLocked(customer world.CustomerID, a *account, spent int64) {
+// lenders may earn again. It returns how many were borrowed.
+func (l *Ledger) consumeBorrowedLocked(customer world.CustomerID, a *account, spent int64) int64 {
+	left := spent
 	for _, domain := range sortedDomains(l.loans) {
-		used := l.loans[domain].consume(customer, spent)
-		spent -= used
+		used := l.loans[domain].consume(customer, left)
+		left -= used
 		a.borrowed -= Micro(used) * Token
 	}
+	return spent - left
 }
 
-// grantable is the number of whole tokens that a grantee gets. Loans leave the
-// floor of the burst and what this domain itself is short of.
-func (l *Ledger) grantable(a *account, b *book, want int64) int64 {
+// grantable is the number of whole tokens that a grantee gets. Tokens ahead of
+// demand leave a reserve for calls that wait elsewhere. Loans leave the floor of
+// the burst and what this domain itself is short of.
+func (l *Ledger) grantable(a *account, b *book, u *wire.Usage) int64 {
 	available := a.pool
+	want := u.GetWant()
+	if !b.isLeader {
+		reserve := Micro(float64(a.part.Burst) * urgentReserve)
+		ahead := max(0, min(want-u.GetUrgent(), int64((available-reserve)/Token)-u.GetUrgent()))
+		want = u.GetUrgent() + ahead
+	}
 	if b.isLeader {
 		if l.clock.Now()-a.shortAt <= shortMemory {
 			available -= Micro(a.short) * Token
@@ -345,3 +418,13 @@
 	}
 	return false
 }
+
+// split divides an inflow at an instant and leaves the later part in its place.
+func (m *inflow) split(a *account, at time.Duration) {
+	early := *m
+	early.to = at
+	early.amount = Micro(float64(m.amount) * float64(at-m.from) / float64(m.to-m.from))
+	m.from = at
+	m.amount -= early.amount
+	a.missed = append(a.missed, early)
+}
--- a/core/quota/stock.go
+++ b/core/quota/stock.go
@@ -18,6 +18,8 @@
 	demandSmoothing = 0.4
 	// idleSurplus is the number of tokens that a node keeps without demand.
 	idleSurplus = 1
+	// maxAges bounds the ages in one report.
+	maxAges = 64
 )
 
 // Stock is what a node holds of one grantor's tokens. Its tokens expire when the
@@ -40,6 +42,8 @@
 	returned int64
 	// asked counts takes since the last report.
 	asked int64
+	// spends are the instants of the last spends since the last report.
+	spends []time.Duration
 	// demand is in tokens per second.
 	demand float64
 }
@@ -73,6 +77,9 @@
 		return false
 	}
 	h.spent++
+	if len(h.spends) < maxAges {
+		h.spends = append(h.spends, s.clock.Now())
+	}
 	return true
 }
 
@@ -105,11 +112,26 @@
 			Spent:    h.spent,
 			Returned: h.returned,
 			Want:     h.want(waiting(customer)),
+			Urgent:   int64(waiting(customer)),
+			AgesMs:   h.ages(now),
 		})
 	}
 	return s.book, usages
 }
 
+// ages returns the ages of the spends since the last report, rounded down.
+func (h *holding) ages(now time.Duration) []int64 {
+	if len(h.spends) == 0 {
+		return nil
+	}
+	ages := make([]int64, len(h.spends))
+	for i, at := range h.spends {
+		ages[i] = (now - at).Milliseconds()
+	}
+	h.spends = h.spends[:0]
+	return ages
+}
+
 // measure updates the demand. Reports that follow an earlier one closely carry
 // too few calls for an estimate, so demand is scaled by the elapsed time.
 func (h *holding) measure(elapsed time.Duration) {
@@ -187,6 +209,7 @@
 	s.expiry = 0
 	for _, h := range s.holdings {
 		h.granted, h.spent, h.returned = 0, 0, 0
+		h.spends = nil
 	}
 }
 
