--- /dev/null
+++ b/core/admit/queue_test.go
@@ -0,0 +1,146 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wagtailyoke/core/admit"
+	"wagtailyoke/core/invar"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
+)
+
+// TestQueue drives a queue with random arrivals, ends, cancellations and time. Each
+// ticket is started or shed exactly once, the limit holds, and nothing is shed for
+// lack of room while something less important is queued.
+func TestQueue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := timer.NewVirtual()
+		checks := invar.New(func(v invar.Violation) { rt.Fatalf("invariant %d: %s", v.Name, v.Detail) })
+		limit := float64(rapid.IntRange(1, 6).Draw(rt, "limit"))
+		limiter := admit.NewLimiter(clock, admit.LimitOptions{Start: limit, Least: limit, Most: limit})
+		q := admit.NewQueue(clock, limiter, checks, admit.QueueOptions{})
+		var running []*admit.Ticket
+		queued := map[*admit.Ticket]bool{}
+		ended := map[*admit.Ticket]int{}
+		enter := func(importance world.Importance, customer int, patience time.Duration) {
+			ticket := &admit.Ticket{
+				Importance: importance,
+				Customer:   world.CustomerID(fmt.Sprint(customer)),
+				Weight:     float64(1 + customer),
+				Deadline:   clock.Now() + patience,
+			}
+			ticket.Start = func() {
+				delete(queued, ticket)
+				ended[ticket]++
+				running = append(running, ticket)
+				if len(running) > int(limit) {
+					rt.Fatalf("%d run with a limit of %v", len(running), limit)
+				}
+			}
+			ticket.Shed = func(code world.Code) {
+				delete(queued, ticket)
+				ended[ticket]++
+				if code == world.CodeDeadline {
+					return
+				}
+				for other := range queued {
+					if other.Importance < ticket.Importance {
+						rt.Fatalf("shed %v (%s) while %v is queued", ticket.Importance, code, other.Importance)
+					}
+				}
+			}
+			queued[ticket] = true
+			q.Enter(ticket)
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"enter": func(rt *rapid.T) {
+				enter(world.Importance(rapid.IntRange(0, world.ImportanceCount-1).Draw(rt, "importance")),
+					rapid.IntRange(0, 3).Draw(rt, "customer"),
+					time.Duration(rapid.IntRange(1, 900).Draw(rt, "patience"))*time.Millisecond)
+			},
+			"leave": func(rt *rapid.T) {
+				if len(running) == 0 {
+					return
+				}
+				ticket := running[0]
+				running = running[1:]
+				q.Leave(ticket, admit.Sample{Route: "r", Own: time.Millisecond})
+			},
+			"cancel": func(rt *rapid.T) {
+				for ticket := range queued {
+					if q.Cancel(ticket) {
+						delete(queued, ticket)
+					}
+					return
+				}
+			},
+			"wait": func(rt *rapid.T) {
+				clock.Run(clock.Now() + time.Duration(rapid.IntRange(1, 400).Draw(rt, "ms"))*time.Millisecond)
+			},
+			"": func(rt *rapid.T) {
+				for ticket, n := range ended {
+					if n != 1 {
+						rt.Fatalf("ticket of %v ended %d times", ticket.Importance, n)
+					}
+				}
+				if q.Load() != len(running)+len(queued) {
+					rt.Fatalf("load %d, but %d run and %d are queued", q.Load(), len(running), len(queued))
+				}
+			},
+		})
+	})
+}
+
+// TestQueueSharesByContract: two customers offer more than fits; service follows
+// their contracted rates, not what they offer.
+func TestQueueSharesByContract(t *testing.T) {
+	clock := timer.NewVirtual()
+	limiter := admit.NewLimiter(clock, admit.LimitOptions{Start: 4, Least: 4, Most: 4})
+	q := admit.NewQueue(clock, limiter, invar.New(func(v invar.Violation) { t.Fatal(v) }), admit.QueueOptions{})
+	served := map[world.CustomerID]int{}
+	offer := func(customer world.CustomerID, weight float64, every time.Duration) {
+		timer.Every(clock, every, func() {
+			ticket := &admit.Ticket{Importance: world.ImportanceLookup, Customer: customer, Weight: weight, Deadline: clock.Now() + time.Second}
+			ticket.Shed = func(world.Code) {}
+			ticket.Start = func() {
+				served[customer]++
+				clock.After(20*time.Millisecond, func() { q.Leave(ticket, admit.Sample{Route: "r", Own: 20 * time.Millisecond}) })
+			}
+			q.Enter(ticket)
+		})
+	}
+	offer("greedy", 50, time.Millisecond)
+	offer("fair", 50, 8*time.Millisecond)
+	clock.Run(20 * time.Second)
+	const wanted = 0.45
+	share := float64(served["fair"]) / float64(served["fair"]+served["greedy"])
+	if share < wanted {
+		t.Errorf("the customer inside its contract got %.2f of the service, not half: %v", share, served)
+	}
+}
+
+// TestLevelFollowsCapacity: with 40 % of a class shed, callers that apply the level
+// shed about as much, and the level is gone 5 s after the last shedding.
+func TestLevelFollowsCapacity(t *testing.T) {
+	clock := timer.NewVirtual()
+	level := admit.NewLevel(clock, admit.LevelOptions{})
+	for range 100 {
+		level.Offered(world.ImportanceCritical)
+		level.Offered(world.ImportanceLookup)
+	}
+	for range 40 {
+		level.Shed(world.ImportanceLookup)
+	}
+	clock.Run(100 * time.Millisecond)
+	if v := level.Value(); v < 2.35 || v > 2.45 {
+		t.Errorf("level %.2f, wanted 2.40", v)
+	}
+	clock.Run(5 * time.Second)
+	if v := level.Value(); v != 0 {
+		t.Errorf("level %.2f is left 5 s after the last shedding", v)
+	}
+}
--- a/core/node/chaos_test.go
+++ b/core/node/chaos_test.go
@@ -353,7 +353,10 @@
 	if err != nil {
 		t.Skip("set WAGTAILYOKE_SOAK to the first seed; make soak does")
 	}
-	const seeds = 200
+	seeds, err := strconv.ParseInt(os.Getenv("WAGTAILYOKE_SEEDS"), 10, 64)
+	if err != nil {
+		seeds = 200
+	}
 	for seed := first; seed < first+seeds; seed++ {
 		f := runChaos(seed, 2*time.Minute)
 		expectClean(t, seed, f)
--- /dev/null
+++ b/scripts/planted.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Plants one fault at a time into a copy of the tree and runs the proof that has to
+# see it. Fails if a planted fault passes unseen.
+#   scripts/planted.sh [NAME]
+set -u
+root=$(cd "$(dirname "$0")/.." && pwd)
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+unseen=0
+
+# plant NAME FILE SED TEST
+plant() {
+  if [ -n "${only:-}" ] && [ "$only" != "$1" ]; then return; fi
+  rm -rf "$copy/tree" && mkdir "$copy/tree" && (cd "$root" && git ls-files | tar cf - -T -) | tar xf - -C "$copy/tree"
+  sed -i "$3" "$copy/tree/$2"
+  if cmp -s "$root/$2" "$copy/tree/$2"; then echo "$1: the edit no longer applies"; unseen=1; return; fi
+  if ! (cd "$copy/tree" && go vet "./$(dirname "$2")") >"$copy/out" 2>&1; then echo "$1: does not build"; cat "$copy/out"; unseen=1; return; fi
+  if (cd "$copy/tree" && WAGTAILYOKE_SOAK=1 WAGTAILYOKE_SEEDS=${SEEDS:-30} go test -count=1 -run "$4" ./...) >"$copy/out" 2>&1; then
+    echo "$1: NOT SEEN by $4"
+    unseen=1
+  else
+    echo "$1: seen: $(grep -m1 -E 'seed [0-9]+:|invariant|failed|values are' "$copy/out" | sed 's/^ *//' | cut -c1-150)"
+  fi
+}
+
+only=${1:-}
+chaos='TestChaos|TestSoak'
+plant lapse-not-sticky core/term/term.go 's/^\tif t.lapsed {$/\tif false {/' "$chaos"
+plant no-testimonies core/term/takeover.go 's/len(r.silent) >= testimoniesNeeded(len(r.record.Members))/true/' "$chaos"
+plant evidence-from-arrival core/term/term.go 's/^\t\tt.evidence\[member\] = sent$/\t\tt.evidence[member] = t.clock.Now() + t.options.Fence/' "$chaos"
+plant no-settling core/quota/ledger.go 's/^\t\tl.settled += .*/\t\tl.settled += 0/' "$chaos"
+plant tokens-never-expire core/quota/stock.go 's/s.clock.Now() >= s.expiry || h.tokens() <= 0/h.tokens() <= 0/' "$chaos"
+plant grants-not-counted core/quota/ledger.go 's/^\ta.outstanding += tokens$/\ta.outstanding += tokens \/ 2/' "$chaos"
+plant growth-not-confirmed core/quota/ledger.go 's/if a.waiting \&\& confirmed >= a.confirmAt {/if a.waiting {/' "$chaos"
+plant unseen-keys-run core/once/records.go 's/case !issued.After(r.term.FreshAfter):/case false:/' "$chaos"
+plant anyone-takes-back core/once/records.go 's/if req.GetNotRun() \&\& e.owner != req.GetOwner() {/if false {/' "$chaos"
+plant retry-any-call core/node/flight.go 's/if !f.call.Idempotent \&\& r.Run != world.RunNo {/if false {/' "$chaos"
+plant broken-is-not-run core/node/flight.go 's/^\trun := world.RunMaybe$/\trun := world.RunNo/' "$chaos"
+plant key-passes core/node/serve.go 's/^\th.Del(HeaderKey)$/\t_ = h/' "$chaos"
+plant drain-ignored core/node/target.go 's/if n.state() != wire.NodeState_NODE_STATE_READY {/if false {/' TestLeaving
+plant config-falls core/node/config.go 's/if old != nil \&\& old.Version >= version {/if false {/; s/^\tif version <= n.configVersion() {/\tif false {/' "$chaos"
+plant no-handover core/node/lead.go 's/^\tr := n.validRole()\n\tsuccessor/&/; s/if r == nil || successor == nil {/if true {/' TestRollingRestart
+plant no-quarantine core/once/suspect.go 's/^\tcrashesToBan = 2$/\tcrashesToBan = 200/' TestCrashingRequest
+plant shed-from-the-top core/admit/queue.go 's/^\tfor c := range q.classes {$/\tfor c := len(q.classes) - 1; c >= 0; c-- {/' 'TestQueue'
+plant budget-copied core/retry/retry.go 's/^\tb.left -= part$/\t_ = part/' 'TestBudget'
+plant missed-counts-twice core/quota/ledger.go 's/^\t\tm.amount -= taken$/\t\t_ = taken/' 'TestLedger|TestChaos|TestSoak'
+exit $unseen
