--- /dev/null
+++ b/core/quota/ledger_test.go
@@ -0,0 +1,112 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wagtailyoke/core/intent"
+	"wagtailyoke/core/invar"
+	"wagtailyoke/core/quota"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+const (
+	testRate  = 50
+	testBurst = 20
+	testLease = time.Second
+)
+
+// TestLedger drives one leader and three nodes over a network that loses, repeats
+// and delays heartbeats: what the nodes spend stays inside rate and burst.
+func TestLedger(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := timer.NewVirtual()
+		checks := invar.New(func(v invar.Violation) { rt.Fatalf("invariant %d: %s", v.Name, v.Detail) })
+		ledger := quota.NewLedger(clock, checks, "d", testLease, true)
+		ledger.Install(testConfig("d"), 0)
+		stocks := make([]*quota.Stock, 3)
+		for i := range stocks {
+			stocks[i] = quota.NewStock(clock, testLease, 1)
+		}
+		level, at := float64(testBurst), time.Duration(0)
+		spend := func() {
+			level = min(testBurst, level+testRate*(clock.Now()-at).Seconds()) - 1
+			at = clock.Now()
+			if level < -0.001 {
+				rt.Fatalf("spent %.3f over rate and burst", -level)
+			}
+		}
+		beat := func(rt *rapid.T, i int) {
+			id, usages := stocks[i].Report(func(world.CustomerID) int { return 2 })
+			sent := clock.Now()
+			for range rapid.IntRange(0, 2).Draw(rt, "copies") {
+				there := time.Duration(rapid.IntRange(0, 1200).Draw(rt, "there")) * time.Millisecond
+				back := time.Duration(rapid.IntRange(0, 1200).Draw(rt, "back")) * time.Millisecond
+				clock.After(there, func() {
+					reply := &wire.BeatReply{IsLeader: true}
+					ledger.Serve(fmt.Sprint(i), false, id, usages, reply)
+					clock.After(back, func() { stocks[i].Credit(reply, sent) })
+				})
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"beat": func(rt *rapid.T) { beat(rt, rapid.IntRange(0, 2).Draw(rt, "node")) },
+			"fastBeat": func(rt *rapid.T) {
+				i := rapid.IntRange(0, 2).Draw(rt, "node")
+				id, usages := stocks[i].Report(func(world.CustomerID) int { return 3 })
+				reply := &wire.BeatReply{IsLeader: true}
+				ledger.Serve(fmt.Sprint(i), false, id, usages, reply)
+				stocks[i].Credit(reply, clock.Now())
+			},
+			"take": func(rt *rapid.T) {
+				if stocks[rapid.IntRange(0, 2).Draw(rt, "node")].Take("c") {
+					spend()
+				}
+			},
+			"restart": func(rt *rapid.T) { stocks[rapid.IntRange(0, 2).Draw(rt, "node")].Void() },
+			"wait": func(rt *rapid.T) {
+				clock.Run(clock.Now() + time.Duration(rapid.IntRange(1, 700).Draw(rt, "ms"))*time.Millisecond)
+			},
+		})
+	})
+}
+
+func testConfig(domains ...world.DomainID) *intent.Config {
+	contract := intent.Contract{Rate: testRate, Burst: testBurst}
+	cfg := intent.Empty()
+	cfg.Domains = domains
+	cfg.Customers = []intent.Customer{{ID: "c", Contract: contract, Previous: contract}}
+	return cfg
+}
+
+// TestPartsAddUp: the parts of a contract never exceed it, whatever its size, and a
+// customer's set of domains does not depend on the order of the list.
+func TestPartsAddUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := intent.Contract{
+			Rate:  rapid.Float64Range(0.1, 1e5).Draw(rt, "rate"),
+			Burst: rapid.Float64Range(1, 1e5).Draw(rt, "burst"),
+		}
+		domains := make([]world.DomainID, rapid.IntRange(1, 19).Draw(rt, "domains"))
+		for i := range domains {
+			domains[i] = world.DomainID(fmt.Sprintf("domain-%d", i))
+		}
+		var rate, burst quota.Micro
+		for _, d := range domains {
+			p := quota.PartOf(c, "c", d, domains)
+			rate += p.Rate
+			burst += p.Burst
+			if p.Burst > 0 && p.Burst < quota.Token {
+				rt.Fatalf("a part of %d cannot hold a token", p.Burst)
+			}
+		}
+		if float64(rate) > c.Rate*float64(quota.Token) || float64(burst) > c.Burst*float64(quota.Token) {
+			rt.Fatalf("parts add up to rate %d and burst %d of %+v", rate, burst, c)
+		}
+	})
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,192 @@
+package peer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/node"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+	"wagtailyoke/io/peer"
+)
+
+// rawServer answers each request on a connection with the next raw answer; an
+// empty one closes the connection.
+func rawServer(c *qt.C, answers ...string) (address string, requests *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	requests = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(conn, requests, answers)
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+func serveRaw(conn net.Conn, requests *atomic.Int64, answers []string) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_ = req.Body.Close()
+		n := int(requests.Add(1)) - 1
+		if n >= len(answers) || answers[n] == "" {
+			return
+		}
+		_, _ = conn.Write([]byte(answers[n]))
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func roundTrip(c *qt.C, t http.RoundTripper, method, address string, body []byte) ([]byte, error) {
+	req, err := http.NewRequest(method, "http://"+address+"/x", nil)
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Idempotency-Key", "k")
+	peer.SetBody(req, body)
+	type result struct {
+		body []byte
+		err  error
+	}
+	results := make(chan result, 1)
+	peer.RoundTrip(t, req, func(_ *http.Response, body []byte, err error) { results <- result{body, err} })
+	r := <-results
+	return r.body, r.err
+}
+
+// TestNothingIsRepeated: the HTTP transport repeats requests on a reused connection
+// that closes, if they look repeatable. None of ours may.
+func TestNothingIsRepeated(t *testing.T) {
+	c := qt.New(t)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for _, body := range [][]byte{nil, []byte("body")} {
+			address, requests := rawServer(c, okAnswer, "")
+			transport := peer.NewTransport(4)
+			_, err := roundTrip(c, transport, method, address, body)
+			c.Assert(err, qt.IsNil)
+			_, err = roundTrip(c, transport, method, address, body)
+			c.Assert(errors.Is(err, node.ErrBroken), qt.IsTrue, qt.Commentf("%s %q: %v", method, body, err))
+			c.Assert(requests.Load(), qt.Equals, int64(2), qt.Commentf("%s %q", method, body))
+		}
+	}
+}
+
+func TestCutAnswers(t *testing.T) {
+	c := qt.New(t)
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+		"",
+	} {
+		address, _ := rawServer(c, answer, "")
+		l := peer.NewTransport(1)
+		results := make(chan error, 1)
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+		c.Assert(err, qt.IsNil)
+		peer.SetBody(req, nil)
+		conn := &closingTransport{l}
+		peer.RoundTrip(conn, req, func(_ *http.Response, _ []byte, err error) { results <- err })
+		c.Assert(errors.Is(<-results, node.ErrBroken), qt.IsTrue, qt.Commentf("%q", answer))
+	}
+}
+
+// closingTransport asks the server to end the connection, which cuts the answer.
+type closingTransport struct{ *http.Transport }
+
+func (t *closingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(req.Context(), 300*time.Millisecond)
+	context.AfterFunc(ctx, cancel)
+	return t.Transport.RoundTrip(req.WithContext(ctx))
+}
+
+func TestNotSent(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := l.Addr().String()
+	c.Assert(l.Close(), qt.IsNil)
+	_, err = roundTrip(c, peer.NewTransport(1), http.MethodGet, address, nil)
+	c.Assert(errors.Is(err, node.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// echo is a node that answers calls with their facts.
+type echo struct{}
+
+func (echo) ServePeer(call *world.Call, done func(*world.Reply)) func() {
+	body := fmt.Sprintf("%s %s %d %s", call.Customer, call.Path, call.Budget, call.Body)
+	done(&world.Reply{Status: http.StatusOK, Body: []byte(body), BudgetLeft: call.Budget, Level: 1.5})
+	return func() {}
+}
+
+func (echo) HandleControl(req proto.Message, done func(proto.Message)) {
+	if m, ok := req.(*wire.BeatRequest); ok {
+		done(&wire.BeatReply{Epoch: m.GetEpoch() + 1})
+	}
+}
+
+func listen(c *qt.C, secret string) world.Address {
+	base, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server, err := peer.Listen(base, secret, timer.NewReal(), echo{})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	return world.Address(base.Addr().String())
+}
+
+func TestForwardAndControl(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewReal()
+	to := listen(c, "the right secret")
+	links := peer.NewLinks(clock, "the right secret")
+	defer func() { _ = links.Close() }()
+	replies := make(chan *world.Reply, 1)
+	call := &world.Call{ID: "r1", Customer: "c", Method: http.MethodPost, Path: "/a?b=1", Body: []byte("hello"), Budget: 2, Deadline: clock.Now() + time.Second}
+	links.Forward(to, call, func(r *world.Reply, err error) {
+		c.Check(err, qt.IsNil)
+		replies <- r
+	})
+	r := <-replies
+	c.Assert(string(r.Body), qt.Equals, "c /a?b=1 2 hello")
+	c.Assert(r.BudgetLeft, qt.Equals, 2)
+	c.Assert(r.Level, qt.Equals, 1.5)
+	beats := make(chan proto.Message, 1)
+	links.Control(to, &wire.BeatRequest{Epoch: 6}, time.Second, func(m proto.Message, err error) {
+		c.Check(err, qt.IsNil)
+		beats <- m
+	})
+	c.Assert((<-beats).(*wire.BeatReply).GetEpoch(), qt.Equals, uint64(7))
+}
+
+func TestWrongSecretIsRefused(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewReal()
+	to := listen(c, "the right secret")
+	links := peer.NewLinks(clock, "another secret..")
+	defer func() { _ = links.Close() }()
+	failures := make(chan error, 2)
+	links.Forward(to, &world.Call{ID: "r1", Method: http.MethodGet, Path: "/"}, func(_ *world.Reply, err error) { failures <- err })
+	c.Assert(<-failures, qt.IsNotNil)
+	links.Control(to, &wire.BeatRequest{}, time.Second, func(_ proto.Message, err error) { failures <- err })
+	c.Assert(<-failures, qt.IsNotNil)
+}
