Tell a slower upstream from a queueing one by throughput

Cause: under twice the capacity of an upstream with 60 slots the limit grew to 2,000 and calls took 2.2 s in an upstream that needs 120 ms: the latency baseline drifted up with the queue. An upstream at a tenth of its speed was throttled to 4 % of what it could do. Ruled out: other drifts of the baseline. Slow drift throttles a slower upstream, fast drift follows the queue; latency alone cannot tell the two. Change: each fall of the limit is a test. If throughput stays, the upstream queued; if it falls with the limit, the latency is the new baseline and the limit comes back. Only calls that started in a window count for it.

--- a/cmd/standin/deploy.go
+++ b/cmd/standin/deploy.go
@@ -265,6 +265,15 @@
 	return all
 }
 
+// seeds are the peer addresses of one node in each failure domain.
+func (d *deployment) seeds() []string {
+	var seeds []string
+	for i := range d.Domains {
+		seeds = append(seeds, d.Endpoints[i].Peer)
+	}
+	return seeds
+}
+
 func (c *fleetCommand) nodeSettings(d *deployment, e endpoint) string {
 	return fmt.Sprintf(`[node]
 name = %q
@@ -285,8 +294,8 @@
 
 [fleet]
 secret = %q
-seeds = [%q]
-`, e.Name, e.Domain, e.Service, e.Public, e.Egress, e.Peer, e.Ops, e.Upstream, d.Platform, c.Secret, d.Endpoints[0].Peer)
+seeds = [%s]
+`, e.Name, e.Domain, e.Service, e.Public, e.Egress, e.Peer, e.Ops, e.Upstream, d.Platform, c.Secret, quoteAll(d.seeds()))
 }
 
 // fleetFile is the configuration that an operator applies.
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -29,6 +29,7 @@
 	Rate     float64 `long:"rate" default:"0.6" description:"load as a share of capacity, for mixed"`
 	Seed     int64   `long:"seed" default:"1"`
 	Out      string  `long:"out" description:"file for the measures as JSON"`
+	Records  string  `long:"records" description:"file for what callers of reservations were told"`
 }
 
 // Timing of callers.
@@ -86,6 +87,11 @@
 	l.run(phases)
 	m := l.record.measures(l, phases)
 	m.print(os.Stdout)
+	if c.Records != "" {
+		if err := l.record.writeReservations(c.Records); err != nil {
+			return err
+		}
+	}
 	if c.Out == "" {
 		return nil
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,6 +16,7 @@
 	add(parser, "upstream", "a service endpoint", &upstreamCommand{})
 	add(parser, "load", "an open-loop load generator", &loadCommand{})
 	add(parser, "fleet", "write the settings of a whole deployment", &fleetCommand{})
+	add(parser, "check", "compare callers' records with upstreams' logs", &checkCommand{})
 	add(parser, "plot", "draw the measures of load runs", &plotCommand{})
 	if _, err := parser.Parse(); err != nil {
 		const exitUsage = 2
--- a/cmd/standin/measure.go
+++ b/cmd/standin/measure.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -28,6 +29,45 @@
 	shedCritical int
 	criticals    int
 	latency      *hdrhistogram.Histogram
+	reservations map[string]*reservation
+}
+
+// reservation is what a caller was told of one idempotency key.
+type reservation struct {
+	Key string `json:"key"`
+	OK  bool   `json:"ok"`
+	// Runs holds the run member of each refusal, or the kind of failure.
+	Runs []string `json:"runs"`
+}
+
+func (r *recorder) noteReservation(q *request, o outcome) {
+	if q.key == "" {
+		return
+	}
+	known := r.reservations[q.key]
+	if known == nil {
+		known = &reservation{Key: q.key}
+		r.reservations[q.key] = known
+	}
+	known.OK = known.OK || o.ok
+	if !o.ok {
+		known.Runs = append(known.Runs, o.run)
+	}
+}
+
+// writeReservations writes one JSON line for each key.
+func (r *recorder) writeReservations(file string) error {
+	out, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(out)
+	for _, known := range r.reservations {
+		if err := encoder.Encode(known); err != nil {
+			return err
+		}
+	}
+	return out.Close()
 }
 
 type tally struct {
@@ -59,11 +99,12 @@
 
 func newRecorder(d *deployment) *recorder {
 	r := &recorder{
-		d:         d,
-		customers: make([]tally, len(d.Customers)),
-		meters:    make([]meter, len(d.Customers)),
-		codes:     map[string]int{},
-		latency:   hdrhistogram.New(leastLatency, mostLatency, latencyDigit),
+		d:            d,
+		customers:    make([]tally, len(d.Customers)),
+		meters:       make([]meter, len(d.Customers)),
+		codes:        map[string]int{},
+		reservations: map[string]*reservation{},
+		latency:      hdrhistogram.New(leastLatency, mostLatency, latencyDigit),
 	}
 	for i, c := range d.Customers {
 		r.meters[i].tokens = c.Burst
@@ -110,6 +151,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.attempts++
+	r.noteReservation(q, o)
 	if o.ok {
 		return
 	}
--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -105,7 +105,7 @@
 	server := &http.Server{Addr: c.Listen, Handler: u}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	go u.announce("ready")
+	go u.announceAlways(ctx)
 	go func() {
 		<-ctx.Done()
 		u.announce("draining")
@@ -121,27 +121,38 @@
 	return err
 }
 
-// announce tells the node the state, until it is told.
+// announceEvery is how often an upstream tells its node its state, so that a node
+// which was restarted learns it.
+const announceEvery = 500 * time.Millisecond
+
+// announceAlways tells the node the state until the context ends.
+func (u *upstream) announceAlways(ctx context.Context) {
+	for {
+		state := "ready"
+		if u.drains.Load() {
+			state = "draining"
+		}
+		u.announce(state)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(announceEvery):
+		}
+	}
+}
+
 func (u *upstream) announce(state string) {
 	if u.options.Ops == "" {
 		return
 	}
-	for range percent {
-		body, _ := json.Marshal(httpx.Announcement{State: state})
-		req, err := http.NewRequest(http.MethodPost, "http://"+u.options.Ops+"/upstream", bytes.NewReader(body))
-		if err != nil {
-			return
-		}
-		req.Header.Set(httpx.HeaderSecret, u.options.Secret)
-		resp, err := u.client.Do(req)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusNoContent {
-				return
-			}
-		}
-		const pause = 100 * time.Millisecond
-		time.Sleep(pause)
+	body, _ := json.Marshal(httpx.Announcement{State: state})
+	req, err := http.NewRequest(http.MethodPost, "http://"+u.options.Ops+"/upstream", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set(httpx.HeaderSecret, u.options.Secret)
+	if resp, err := u.client.Do(req); err == nil {
+		_ = resp.Body.Close()
 	}
 }
 
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -10,7 +10,7 @@
 //
 //	q := admit.NewQueue(clock, limiter, checks, options)
 //	q.Enter(&admit.Ticket{Importance: ..., Start: run, Shed: refuse})
-//	q.Leave(sample) // once for each started ticket
+//	q.Leave(ticket, sample) // once for each started ticket
 package admit
 
 import (
@@ -33,19 +33,16 @@
 	Tolerance float64
 	// Decrease is the factor applied to the limit in a window with queueing.
 	Decrease float64
-	// Window is the time between decisions.
+	// Window is the least time between decisions.
 	Window time.Duration
-	// Drift is the factor by which a baseline may rise in a window.
-	Drift float64
 }
 
 func (o LimitOptions) withDefaults() LimitOptions {
-	setDefault(&o.Start, 8)
+	setDefault(&o.Start, 16)
 	setDefault(&o.Least, 2)
 	setDefault(&o.Most, 2000)
-	setDefault(&o.Tolerance, 1.6)
-	setDefault(&o.Decrease, 0.9)
-	setDefault(&o.Drift, 1.03)
+	setDefault(&o.Tolerance, 1.3)
+	setDefault(&o.Decrease, 0.75)
 	if o.Window == 0 {
 		o.Window = 100 * time.Millisecond
 	}
@@ -69,11 +66,33 @@
 	Ignore bool
 }
 
-// minSamples is the number of samples needed for a decision.
-const minSamples = 5
+// Tuning of a Limiter.
+const (
+	// minSamples is the number of samples for a decision; in slow start fewer do.
+	minSamples       = 30
+	slowStartSamples = 12
+	// slowStartGrowth is the factor of growth until the first sign of queueing.
+	slowStartGrowth = 1.7
+	// growth is the factor of growth afterwards.
+	growth = 1.05
+	// busyShare is the share of the limit in use from which latency is taken as
+	// queueing; below idleShare it cannot come from queueing.
+	busyShare = 0.8
+	idleShare = 0.5
+	// baselineWeight is the weight of a window that is faster than the baseline.
+	baselineWeight = 0.3
+	// fasterShare is the share of the baseline below which the upstream has become
+	// faster for good, and the baseline follows at once.
+	fasterShare = 0.6
+)
 
-// Limiter adapts a concurrency limit to an upstream. It grows fast until the
-// first sign of queueing, then by small steps, and falls by a factor.
+// Limiter adapts a concurrency limit to an upstream. It grows fast until the first
+// sign of queueing, then by small steps, and falls by a factor.
+//
+// Latency alone cannot tell an upstream that queues from one that became slower.
+// So each fall is a test: if throughput stays, the upstream was queueing; if it
+// falls with the limit, the upstream is slower, its latency is the new baseline and
+// the limit is restored.
 type Limiter struct {
 	clock   timer.Service
 	options LimitOptions
@@ -83,15 +102,25 @@
 	slowStart bool
 	baselines map[world.RouteID]float64
 	window    window
+	test      *fall
+}
+
+// fall is a decrease whose effect on throughput is awaited.
+type fall struct {
+	limit      float64
+	throughput float64
 }
 
+// window collects the calls that started in it: those that started earlier still
+// show the limit before.
 type window struct {
 	start     time.Duration
+	ended     int
 	samples   int
 	inflation float64
 	sums      map[world.RouteID]*mean
 	shed      bool
-	saturated bool
+	peak      int
 }
 
 type mean struct {
@@ -113,6 +142,7 @@
 	l.limit = l.options.Start
 	l.slowStart = true
 	l.baselines = map[world.RouteID]float64{}
+	l.test = nil
 	l.openWindow()
 }
 
@@ -123,33 +153,43 @@
 	return int(l.limit)
 }
 
-// Observe takes in a sample. inFlight is the number of calls that ran with it.
-func (l *Limiter) Observe(s Sample, inFlight int) {
+// Observe takes in a sample. started is when the call was admitted, inFlight the
+// number of calls that ran with it.
+func (l *Limiter) Observe(s Sample, started time.Duration, inFlight int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if float64(inFlight) >= l.limit-1 {
-		l.window.saturated = true
-	}
+	w := &l.window
+	w.peak = max(w.peak, inFlight)
 	if s.Shed {
-		l.window.shed = true
+		w.shed = true
 	}
 	if !s.Ignore && !s.Shed {
-		l.addLocked(s)
+		w.ended++
+		if started >= w.start {
+			l.addLocked(s)
+		}
 	}
-	if l.clock.Now()-l.window.start >= l.options.Window && (l.window.samples >= minSamples || l.window.shed) {
-		l.decideLocked()
+	elapsed := l.clock.Now() - w.start
+	if elapsed >= l.options.Window && (w.samples >= l.samplesNeeded() || w.shed) {
+		l.decideLocked(elapsed)
 	}
 }
 
+func (l *Limiter) samplesNeeded() int {
+	if l.slowStart {
+		return slowStartSamples
+	}
+	return minSamples
+}
+
 func (l *Limiter) addLocked(s Sample) {
 	seconds := math.Max(s.Own.Seconds(), 1e-5)
-	base, ok := l.baselines[s.Route]
-	if !ok {
-		base = seconds
-		l.baselines[s.Route] = base
-	}
 	l.window.samples++
-	l.window.inflation += seconds / base
+	if base, ok := l.baselines[s.Route]; ok {
+		l.window.inflation += seconds / base
+	} else {
+		l.window.inflation++
+	}
 	m := l.window.sums[s.Route]
 	if m == nil {
 		m = &mean{}
@@ -159,35 +199,78 @@
 	m.n++
 }
 
-func (l *Limiter) decideLocked() {
+func (l *Limiter) decideLocked(elapsed time.Duration) {
+	w := &l.window
 	inflation := 1.0
-	if l.window.samples > 0 {
-		inflation = l.window.inflation / float64(l.window.samples)
+	if w.samples > 0 {
+		inflation = w.inflation / float64(w.samples)
 	}
+	throughput := float64(w.ended) / elapsed.Seconds()
+	isSaturated := float64(w.peak) >= l.limit-1
+	isIdle := float64(w.peak) < idleShare*l.limit
 	switch {
-	case l.window.shed || inflation > l.options.Tolerance:
-		l.limit *= l.options.Decrease
-		l.slowStart = false
-	case l.window.saturated && l.slowStart:
-		l.limit *= 1.5
-	case l.window.saturated:
-		l.limit += math.Max(1, math.Sqrt(l.limit)/2)
+	case w.shed:
+		l.fallLocked()
+		l.test = nil
+	case l.test != nil && isSaturated && l.isSlower(throughput):
+		l.limit = l.test.limit
+		l.test = nil
+		l.rebaseLocked()
+	case inflation > l.options.Tolerance && isIdle:
+		l.rebaseLocked()
+	case inflation > l.options.Tolerance && float64(w.peak) >= busyShare*l.limit:
+		before := fall{limit: l.limit, throughput: throughput}
+		l.fallLocked()
+		l.test = &before
+	case isSaturated:
+		l.test = nil
+		l.growLocked()
 	}
-	l.limit = math.Min(math.Max(l.limit, l.options.Least), l.options.Most)
 	l.learnLocked()
 	l.openWindow()
 }
 
-// learnLocked moves each baseline to the window's mean when that is lower, and
-// lets it rise slowly otherwise. Without the rise, an upstream that became slower
-// for good would be throttled down to the least limit.
+// isSlower reports whether throughput fell with the limit, by more than half as
+// much: that much is beyond the noise of one window.
+func (l *Limiter) isSlower(throughput float64) bool {
+	expected := l.test.throughput * (1 + l.limit/l.test.limit) / 2
+	return throughput < expected
+}
+
+func (l *Limiter) fallLocked() {
+	l.limit = math.Max(l.limit*l.options.Decrease, l.options.Least)
+	l.slowStart = false
+}
+
+func (l *Limiter) growLocked() {
+	if l.slowStart {
+		l.limit *= slowStartGrowth
+	} else {
+		l.limit = math.Max(l.limit+1, l.limit*growth)
+	}
+	l.limit = math.Min(l.limit, l.options.Most)
+}
+
+// rebaseLocked takes the window's latency as the new baseline.
+func (l *Limiter) rebaseLocked() {
+	for route, m := range l.window.sums {
+		l.baselines[route] = m.sum / float64(m.n)
+	}
+}
+
+// learnLocked moves baselines down with windows that were faster. One that is far
+// below is followed at once, others slowly, since the least of many noisy windows
+// would be too low.
 func (l *Limiter) learnLocked() {
 	for route, m := range l.window.sums {
-		if m.n < minSamples {
-			continue
-		}
 		average := m.sum / float64(m.n)
-		l.baselines[route] = math.Min(average, l.baselines[route]*l.options.Drift)
+		base, ok := l.baselines[route]
+		switch {
+		case !ok || average < fasterShare*base && m.n >= slowStartSamples:
+			l.baselines[route] = average
+		case average < base && m.n >= slowStartSamples:
+			l.baselines[route] += baselineWeight * (average - base)
+		}
 	}
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -22,6 +22,7 @@
 
 	state   ticketState
 	entered time.Duration
+	started time.Duration
 	stop    timer.Stop
 }
 
@@ -149,6 +150,7 @@
 
 func (q *Queue) begin(t *Ticket) {
 	t.state = ticketRunning
+	t.started = q.clock.Now()
 	q.running++
 	if t.Importance == world.ImportanceInternal {
 		q.internal++
@@ -306,7 +308,7 @@
 		q.typical += (s.Own - q.typical) / 8
 	}
 	q.mu.Unlock()
-	q.limiter.Observe(s, inFlight)
+	q.limiter.Observe(s, t.started, inFlight)
 	limit := q.limiter.Limit()
 	q.mu.Lock()
 	next := q.collect(limit)
--- /dev/null
+++ b/core/term/term_test.go
@@ -0,0 +1,276 @@
+package term_test
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/term"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// group is the members of one failure domain on virtual time, with cuts between
+// single nodes that need not be symmetric.
+type group struct {
+	clock   *timer.Virtual
+	random  *rand.Rand
+	memory  *store.Memory
+	members []*member
+	cuts    map[[2]int]bool
+	noStore map[int]bool
+	slow    bool
+	// lossy loses the answers of some platform operations.
+	lossy bool
+	broken  string
+	takes   int
+}
+
+// member is one node with its term.
+type member struct {
+	g      *group
+	index  int
+	term   *term.Term
+	frozen time.Duration
+	// ack is the stamp of the holder's last answer, of epoch ackEpoch.
+	ack      time.Duration
+	ackEpoch world.Epoch
+}
+
+func newGroup(seed int64, n int) *group {
+	g := &group{
+		clock:   timer.NewVirtual(),
+		random:  rand.New(rand.NewSource(seed)),
+		memory:  store.NewMemory(),
+		cuts:    map[[2]int]bool{},
+		noStore: map[int]bool{},
+	}
+	for i := range n {
+		m := &member{g: g, index: i}
+		self := term.Self{Member: m.id(), Domain: "d", Incarnation: uint64(i + 1)}
+		m.term = term.New(m, m, m, self, term.DefaultOptions(), m)
+		g.members = append(g.members, m)
+		timer.Every(m, 100*time.Millisecond, func() { m.term.Tick() })
+		timer.Every(m, 250*time.Millisecond, m.beat)
+	}
+	return g
+}
+
+func (m *member) id() term.Member {
+	name := fmt.Sprintf("m%d", m.index)
+	return term.Member{Node: world.NodeID(name), Peer: world.Address(name)}
+}
+
+// Now, Wall and After make a member its own clock, which stands still in a freeze.
+func (m *member) Now() time.Duration { return m.g.clock.Now() }
+func (m *member) Wall() time.Time    { return m.g.clock.Wall() }
+func (m *member) After(d time.Duration, f func()) timer.Stop {
+	return m.g.clock.After(d, func() { m.awake(f) })
+}
+
+func (m *member) awake(f func()) {
+	if left := m.frozen - m.g.clock.Now(); left > 0 {
+		m.g.clock.After(left+time.Microsecond, func() { m.awake(f) })
+		return
+	}
+	f()
+}
+
+// send delivers a message unless the way is cut; it may come late.
+func (g *group) send(from, to int, deliver func()) {
+	delay := time.Millisecond + time.Duration(g.random.Int63n(int64(time.Millisecond)))
+	if g.random.Intn(10) == 0 {
+		delay += time.Duration(g.random.Int63n(int64(time.Second)))
+	}
+	g.clock.After(delay, func() {
+		if !g.cuts[[2]int{from, to}] {
+			g.members[to].awake(deliver)
+		}
+	})
+}
+
+// beat is a heartbeat to whoever holds the term, as a node sends it.
+func (m *member) beat() {
+	g := m.g
+	ack, ackEpoch := m.ack, m.ackEpoch
+	for _, other := range g.members {
+		if other == m {
+			continue
+		}
+		g.send(m.index, other.index, func() {
+			if !other.term.IsValid() {
+				return
+			}
+			epoch := other.term.Epoch()
+			if ackEpoch == epoch {
+				other.term.Contact(m.id().Node, ack)
+			}
+			stamp := g.clock.Now()
+			g.send(other.index, m.index, func() {
+				m.term.Heard(epoch)
+				if epoch > m.ackEpoch || epoch == m.ackEpoch && stamp > m.ack {
+					m.ack, m.ackEpoch = stamp, epoch
+				}
+			})
+		})
+	}
+}
+
+// Testify implements term.Asker.
+func (m *member) Testify(to world.Address, req *wire.TestifyRequest, done func(*wire.TestifyReply, error)) {
+	for _, other := range m.g.members {
+		if other.id().Peer == to {
+			m.g.send(m.index, other.index, func() {
+				reply := other.term.Testimony(req)
+				m.g.send(other.index, m.index, func() { done(reply, nil) })
+			})
+		}
+	}
+}
+
+// TermWon, TermLost and TermSeen implement term.Observer.
+func (m *member) TermWon(term.Record, *wire.HandoverRequest) {
+	m.g.takes++
+	var ids []term.Member
+	for _, other := range m.g.members {
+		ids = append(ids, other.id())
+	}
+	m.term.SetMembers(ids)
+}
+func (m *member) TermLost(world.Epoch) {}
+func (m *member) TermSeen(term.Record) {}
+
+// call is one platform operation: it can be lost on the way there or back, and take
+// effect late.
+func (m *member) call(effect func(), done func(error)) {
+	g := m.g
+	there := 4 * time.Millisecond
+	if g.slow {
+		there += time.Duration(g.random.Int63n(int64(4 * time.Second)))
+	}
+	lostThere, lostBack := g.noStore[m.index], g.lossy && g.random.Intn(8) == 0
+	g.clock.After(there, func() {
+		if lostThere {
+			g.clock.After(time.Second, func() { m.awake(func() { done(store.ErrUnavailable) }) })
+			return
+		}
+		effect()
+		if lostBack || g.noStore[m.index] {
+			g.clock.After(time.Second, func() { m.awake(func() { done(store.ErrUnavailable) }) })
+			return
+		}
+		g.clock.After(4*time.Millisecond, func() { m.awake(func() { done(nil) }) })
+	})
+}
+
+// Get implements store.Platform.
+func (m *member) Get(key string, done func(store.Object, error)) {
+	var o store.Object
+	var err error
+	m.call(func() { o, err = m.g.memory.Get(key) }, func(fault error) { done(o, either(fault, err)) })
+}
+
+// Put implements store.Platform.
+func (m *member) Put(key string, expected uint64, value []byte, done func(uint64, error)) {
+	var version uint64
+	var err error
+	m.call(func() { version, err = m.g.memory.Put(key, expected, value) }, func(fault error) { done(version, either(fault, err)) })
+}
+
+func (m *member) Delete(string, func(error))                      {}
+func (m *member) Watch(string, uint64, func(store.Object, error)) {}
+func either(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// fault draws faults until the given instant.
+func (g *group) fault(until time.Duration) {
+	g.lossy = g.clock.Now() < until
+	if !g.lossy {
+		return
+	}
+	span := 200*time.Millisecond + time.Duration(g.random.Int63n(int64(7*time.Second)))
+	a, b := g.random.Intn(len(g.members)), g.random.Intn(len(g.members))
+	switch g.random.Intn(5) {
+	case 0, 1:
+		pair := [2]int{a, b}
+		g.cuts[pair] = true
+		g.clock.After(span, func() { delete(g.cuts, pair) })
+	case 2:
+		g.members[a].frozen = g.clock.Now() + span
+	case 3:
+		g.noStore[a] = true
+		g.clock.After(span, func() { delete(g.noStore, a) })
+	case 4:
+		all := g.random.Intn(2) == 0
+		g.slow = !all
+		for i := range g.members {
+			g.noStore[i] = all || g.noStore[i]
+		}
+		g.clock.After(span, func() { g.slow = false; g.noStore = map[int]bool{} })
+	}
+	g.clock.After(time.Duration(g.random.Int63n(int64(1200*time.Millisecond))), func() { g.fault(until) })
+}
+
+// watch looks for two valid holders every 5 ms.
+func (g *group) watch() {
+	holder := -1
+	for _, m := range g.members {
+		if m.frozen > g.clock.Now() || !m.term.IsValid() {
+			continue
+		}
+		if holder >= 0 && g.broken == "" {
+			g.broken = fmt.Sprintf("%v: m%d and m%d hold the term at once", g.clock.Now(), holder, m.index)
+		}
+		holder = m.index
+	}
+	g.clock.After(5*time.Millisecond, g.watch)
+}
+
+// runTerm is one randomised run.
+func runTerm(seed int64, members int) *group {
+	g := newGroup(seed, members)
+	g.clock.Run(2 * time.Second)
+	g.watch()
+	g.fault(92 * time.Second)
+	g.clock.Run(120 * time.Second)
+	return g
+}
+
+// TestOneHolder runs groups of 1 to 5 members under cuts that need not be
+// symmetric, freezes, platform outages, lost answers and late messages. There are
+// never two valid holders, and there is one 28 s after the last fault.
+func TestOneHolder(t *testing.T) {
+	seeds := int64(60)
+	if n, err := strconv.ParseInt(os.Getenv("WAGTAILYOKE_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	}
+	takes := 0
+	for seed := int64(1); seed <= seeds; seed++ {
+		for members := 1; members <= 5; members++ {
+			g := runTerm(seed, members)
+			takes += g.takes
+			if g.broken != "" {
+				t.Errorf("seed %d, %d members: %s", seed, members, g.broken)
+			}
+			holders := 0
+			for _, m := range g.members {
+				if m.term.IsValid() {
+					holders++
+				}
+			}
+			if holders != 1 {
+				t.Errorf("seed %d, %d members: %d holders at the end", seed, members, holders)
+			}
+		}
+	}
+	t.Logf("%d terms were won in %d runs", takes, 5*seeds)
+}
--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plants one fault at a time into a copy of the tree and runs the proof that has to
+# Plants one fault at a time into a copy of the last commit and runs the proof that has to
 # see it. Fails if a planted fault passes unseen.
 #   scripts/planted.sh [NAME]
 set -u
@@ -11,11 +11,11 @@
 # plant NAME FILE SED TEST
 plant() {
   if [ -n "${only:-}" ] && [ "$only" != "$1" ]; then return; fi
-  rm -rf "$copy/tree" && mkdir "$copy/tree" && (cd "$root" && git ls-files | tar cf - -T -) | tar xf - -C "$copy/tree"
+  rm -rf "$copy/tree" && mkdir "$copy/tree" && git -C "$root" archive HEAD | tar xf - -C "$copy/tree"
   sed -i "$3" "$copy/tree/$2"
-  if cmp -s "$root/$2" "$copy/tree/$2"; then echo "$1: the edit no longer applies"; unseen=1; return; fi
+  if git -C "$root" show "HEAD:$2" | cmp -s - "$copy/tree/$2"; then echo "$1: the edit no longer applies"; unseen=1; return; fi
   if ! (cd "$copy/tree" && go vet "./$(dirname "$2")") >"$copy/out" 2>&1; then echo "$1: does not build"; cat "$copy/out"; unseen=1; return; fi
-  if (cd "$copy/tree" && WAGTAILYOKE_SOAK=1 WAGTAILYOKE_SEEDS=${SEEDS:-30} go test -count=1 -run "$4" ./...) >"$copy/out" 2>&1; then
+  if (cd "$copy/tree" && WAGTAILYOKE_SOAK=1 WAGTAILYOKE_SEEDS=${SEEDS:-30} go test -count=1 -run "$4" ./core/...) >"$copy/out" 2>&1; then
     echo "$1: NOT SEEN by $4"
     unseen=1
   else
@@ -25,9 +25,12 @@
 
 only=${1:-}
 chaos='TestChaos|TestSoak'
-plant lapse-not-sticky core/term/term.go 's/^\tif t.lapsed {$/\tif false {/' "$chaos"
-plant no-testimonies core/term/takeover.go 's/len(r.silent) >= testimoniesNeeded(len(r.record.Members))/true/' "$chaos"
-plant evidence-from-arrival core/term/term.go 's/^\t\tt.evidence\[member\] = sent$/\t\tt.evidence[member] = t.clock.Now() + t.options.Fence/' "$chaos"
+plant lapse-not-sticky core/term/term.go 's/^\tif t.lapsed {$/\tif false {/' TestOneHolder
+plant no-testimonies core/term/takeover.go 's/len(r.silent) >= testimoniesNeeded(len(r.record.Members))/true/' TestOneHolder
+plant silence-too-short core/term/takeover.go 's/required: t.options.Fence + t.options.Round,/required: t.options.Fence \/ 4,/' TestOneHolder
+plant version-not-pinned core/term/takeover.go 's/^\tt.write(r.version, r.nextRecord()/\to, _ := t.version, 0\n\tt.write(o, r.nextRecord()/' TestOneHolder
+plant evidence-from-arrival core/term/term.go 's/^\t\tt.evidence\[member\] = sent$/\t\tt.evidence[member] = t.clock.Now() + t.options.Fence/' TestOneHolder
+plant confirmed-at-answer core/term/term.go 's/^\tt.confirmedAt = max(t.confirmedAt, sent)$/\tt.confirmedAt = t.clock.Now()/' TestOneHolder
 plant no-settling core/quota/ledger.go 's/^\t\tl.settled += .*/\t\tl.settled += 0/' "$chaos"
 plant tokens-never-expire core/quota/stock.go 's/s.clock.Now() >= s.expiry || h.tokens() <= 0/h.tokens() <= 0/' "$chaos"
 plant grants-not-counted core/quota/ledger.go 's/^\ta.outstanding += tokens$/\ta.outstanding += tokens \/ 2/' "$chaos"
