--- a/core/term/term_test.go
+++ b/core/term/term_test.go
@@ -229,12 +229,16 @@
 		if g.random.Intn(5) == 0 {
 			continue
 		}
-		if direction != 0 {
-			g.cutFor([2]int{a, b}, span)
-		}
-		if direction != 1 {
-			g.cutFor([2]int{b, a}, span)
-		}
+		// Members lose the holder one after another, as routes fail.
+		b, own := b, time.Duration(g.random.Int63n(int64(span)))
+		g.clock.After(own, func() {
+			if direction != 0 {
+				g.cutFor([2]int{a, b}, span)
+			}
+			if direction != 1 {
+				g.cutFor([2]int{b, a}, span)
+			}
+		})
 	}
 }
 
