--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -36,8 +37,17 @@
 
 const startTimeout = 15 * time.Second
 
+// Garbage collection. A node's heap is a few MB, so the default collects many times a
+// second under load, and each collection delays the calls of that moment.
+const (
+	gcPercent        = 400
+	memoryLimitBytes = 200 << 20
+)
+
 // Run starts a node, waits for the context's end and stops the node gracefully.
 func Run(ctx context.Context, s *conf.Settings) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimitBytes)
 	stopLimit := time.Duration(s.Fleet.StopSeconds) * time.Second
 	app := fx.New(
 		fx.NopLogger,
