End a deadlock between a node's stock and its waiting calls; split large files

A heartbeat's report locked the stock and asked the gate for its waiting calls; the gate locked the waiting calls and took from the stock. Ruled out: connections (none failed), processors (two thirds idle), the accept loop (all nodes answered). Change: waiting calls are counted before the report.

--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -402,7 +403,7 @@
 	}
 	resp, err := l.client.Do(req)
 	if err != nil {
-		return outcome{code: "connection"}
+		return outcome{code: failureKind(err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	value, err := io.ReadAll(resp.Body)
@@ -412,6 +413,14 @@
 	return judge(r, resp, value)
 }
 
+// failureKind tells a caller's own timeout from a connection that failed.
+func failureKind(err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "timeout"
+	}
+	return "connection"
+}
+
 // judge checks that the answer is whole and belongs to the request.
 func judge(r *request, resp *http.Response, value []byte) outcome {
 	o := outcome{status: resp.StatusCode}
--- a/core/node/beat.go
+++ b/core/node/beat.go
@@ -218,7 +218,7 @@
 	req.Quarantines = n.quarantine.Export()
 	req.FloorShare = n.floor.Share()
 	if stock != nil {
-		req.Book, req.Usages = stock.Report(n.gate.Waiting)
+		req.Book, req.Usages = stock.Report(n.gate.Waiting())
 	}
 	return req, stock
 }
@@ -241,7 +241,7 @@
 	}
 	n.useStocks()
 	n.gate.Serve()
-	if n.gate.HasWaiting() {
+	if len(n.gate.Waiting()) > 0 {
 		n.beatSoon()
 	}
 }
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -8,12 +8,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"wagtailyoke/core/intent"
 	"wagtailyoke/core/invar"
-	"wagtailyoke/core/once"
-	"wagtailyoke/core/quota"
 	"wagtailyoke/core/retry"
 	"wagtailyoke/core/route"
 	"wagtailyoke/core/timer"
@@ -112,106 +109,12 @@
 	f.finish(world.Refuse(http.StatusServiceUnavailable, world.CodeCancelled, f.runSoFar(), 0))
 }
 
-// obtainRecord asks the leader of the key's home failure domain.
-func (f *flight) obtainRecord() {
-	n := f.n
-	if f.isOver() {
-		return
-	}
-	home := quota.Home(f.call.Customer, f.call.Route, f.call.Key, n.config.Load().Domains)
-	f.call.Home = home
-	leader, ok := n.beats.leaderOf(home)
-	if !ok {
-		f.awaitLeader()
-		return
-	}
-	f.owner = fmt.Sprintf("%s/%d/%016x", n.Info.Name, n.Info.Incarnation, n.drawID())
-	req := &wire.BeginRequest{
-		Key:         f.recordKey(),
-		BodyDigest:  bodyDigest(&f.call),
-		RemainingMs: (f.call.Deadline - n.Clock.Now()).Milliseconds(),
-		Owner:       f.owner,
-	}
-	timeout := min(beginTimeout, f.call.Deadline-n.Clock.Now())
-	n.control(world.Address(leader.GetPeerAddress()), req, timeout, f.judged)
-}
-
-// A handover leaves a failure domain without a leader for some tens of ms.
-const (
-	leaderTries = 4
-	leaderPause = 40 * time.Millisecond
-	// beginTimeout is how long a leader may take for its verdict.
-	beginTimeout = 400 * time.Millisecond
-	// runningPause is the time between questions for the answer of a call that runs.
-	runningPause = 40 * time.Millisecond
-)
-
-// awaitLeader asks again for a record that no leader has judged yet.
-func (f *flight) awaitLeader() {
-	f.leaderTries++
-	if f.leaderTries > leaderTries || f.n.Clock.Now()+leaderPause >= f.call.Deadline {
-		f.finish(f.homeUnreachable(f.call.Home))
-		return
-	}
-	f.n.Clock.After(leaderPause, f.obtainRecord)
-}
-
-func (f *flight) recordKey() *wire.RecordKey {
-	return &wire.RecordKey{Customer: string(f.call.Customer), Route: string(f.call.Route), Key: f.call.Key}
-}
-
-// homeUnreachable names an entry node in the home's failure domain: the caller may
-// reach what this node cannot.
-func (f *flight) homeUnreachable(home world.DomainID) *world.Reply {
-	r := world.Refuse(http.StatusServiceUnavailable, world.CodeHomeUnreachable, world.RunNo, f.n.comeBack(time.Second))
-	r.Elsewhere, _ = f.n.picker.PublicOf(home)
-	return r
-}
-
-// judged takes in the home leader's verdict.
-func (f *flight) judged(m proto.Message, err error) {
-	reply, ok := m.(*wire.BeginReply)
-	if err != nil || !ok {
-		// The record may have been made although its answer was lost. This
-		// attempt has sent nothing, so the record is taken back.
-		f.finish(f.homeUnreachable(f.call.Home))
-		return
-	}
-	f.call.Epoch = world.Epoch(reply.GetEpoch())
-	if reply.GetVerdict() == wire.Verdict_VERDICT_RUN {
-		f.attempt()
-		return
-	}
-	f.forgetOwner()
-	switch reply.GetVerdict() {
-	case wire.Verdict_VERDICT_ANSWERED:
-		f.finish(replyOf(reply.GetAnswer()))
-	case wire.Verdict_VERDICT_KEY_INVALID:
-		f.finish(world.Refuse(http.StatusBadRequest, world.CodeKeyInvalid, world.RunNo, 0))
-	case wire.Verdict_VERDICT_KEY_REUSED:
-		f.finish(world.Refuse(http.StatusUnprocessableEntity, world.CodeKeyReused, world.RunMaybe, 0))
-	case wire.Verdict_VERDICT_NOT_LEADER:
-		f.n.beats.forgetLeader(f.call.Home, f.call.Epoch)
-		f.awaitLeader()
-	case wire.Verdict_VERDICT_RUNNING:
-		f.n.Clock.After(runningPause, f.obtainRecord)
-	default:
-		f.finish(world.Refuse(http.StatusConflict, world.CodeMayHaveRun, world.RunMaybe, 0))
-	}
-}
-
 func (f *flight) isOver() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.over
 }
 
-func (f *flight) forgetOwner() {
-	f.mu.Lock()
-	f.owner = ""
-	f.mu.Unlock()
-}
-
 // attempt sends the call to an endpoint.
 func (f *flight) attempt() {
 	n := f.n
@@ -328,63 +231,6 @@
 	return world.Refuse(http.StatusBadGateway, world.CodeUnreachable, run, time.Second)
 }
 
-func isEndpointFault(r *world.Reply) bool {
-	switch r.Code {
-	case world.CodeUnreachable, world.CodeUpstreamFailed, world.CodeAnswerCut:
-		return true
-	case world.CodeNone:
-		return r.Status == http.StatusInternalServerError || r.Status == http.StatusBadGateway
-	default:
-		return false
-	}
-}
-
-func reasonOf(r *world.Reply) world.Code {
-	if r.Code == world.CodeNone {
-		return world.CodeUpstreamFailed
-	}
-	return r.Code
-}
-
-// shouldRetry spends a retry if the failure is worth one and repeating is safe.
-func (f *flight) shouldRetry(r *world.Reply) bool {
-	if r.Final || !isRetryable(r) {
-		return false
-	}
-	if !f.call.Idempotent && r.Run != world.RunNo {
-		return false
-	}
-	if f.n.quarantine.Standing(f.call.Fingerprint) != once.StandingClear {
-		return false
-	}
-	if f.n.Clock.Now() >= f.call.Deadline {
-		return false
-	}
-	if isFreeRetry(r) && len(f.tried) <= freeRetries {
-		return true
-	}
-	return f.n.buckets.of(f.call.Service).Spend() && f.budget.Spend()
-}
-
-// freeRetries bounds the moves to another endpoint that cost no retry.
-const freeRetries = 1
-
-// isFreeRetry: an endpoint that leaves did no work for the call, and sending it on
-// is routing rather than a repetition.
-func isFreeRetry(r *world.Reply) bool { return r.Code == world.CodeDraining && r.Run == world.RunNo }
-
-func isRetryable(r *world.Reply) bool {
-	switch r.Code {
-	case world.CodeUnreachable, world.CodeDraining, world.CodeQueueFull, world.CodeUpstreamFailed,
-		world.CodeUpstreamShed, world.CodeAnswerCut, world.CodeStaleEpoch:
-		return true
-	case world.CodeNone:
-		return r.Status == http.StatusBadGateway || r.Status == http.StatusServiceUnavailable
-	default:
-		return false
-	}
-}
-
 // finish answers the call, once, and settles its idempotency record.
 func (f *flight) finish(r *world.Reply) {
 	f.mu.Lock()
@@ -429,45 +275,6 @@
 	}
 }
 
-// settleRecord stores the answer at the home leader, or takes the record back when
-// nothing can have run.
-func (f *flight) settleRecord(owner string, r *world.Reply) {
-	req := &wire.FinishRequest{Key: f.recordKey(), Epoch: uint64(f.call.Epoch), Owner: owner}
-	if r.IsRefusal() && r.Run == world.RunNo {
-		req.NotRun = true
-	} else {
-		req.Answer = answerOf(r)
-	}
-	f.n.deliver(f.call.Home, req, finishTries)
-}
-
-// Delivery of record settlements.
-const (
-	finishTries   = 40
-	finishTimeout = 500 * time.Millisecond
-	finishPause   = 250 * time.Millisecond
-)
-
-// deliver sends a settlement to the leader of a failure domain until it answers.
-func (n *Node) deliver(home world.DomainID, req *wire.FinishRequest, tries int) {
-	again := func() {
-		if tries > 1 {
-			n.Clock.After(finishPause, func() { n.deliver(home, req, tries-1) })
-		}
-	}
-	leader, ok := n.beats.leaderOf(home)
-	if !ok {
-		again()
-		return
-	}
-	n.control(world.Address(leader.GetPeerAddress()), req, finishTimeout, func(m proto.Message, err error) {
-		reply, ok := m.(*wire.FinishReply)
-		if err != nil || !ok || !reply.GetStored() {
-			again()
-		}
-	})
-}
-
 func sortedNames(h http.Header) []string {
 	names := make([]string, 0, len(h))
 	for name := range h {
--- /dev/null
+++ b/core/node/handover.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/term"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+func floorsOf(h *wire.HandoverRequest) []term.Floor {
+	var floors []term.Floor
+	for _, f := range h.GetFloors() {
+		floors = append(floors, term.Floor{Node: world.NodeID(f.GetNode()), Incarnation: f.GetIncarnation(), Share: f.GetShare()})
+	}
+	return floors
+}
+
+// handOver passes the term to another ready node of the failure domain.
+func (n *Node) handOver(done func()) {
+	r := n.validRole()
+	successor := n.successor()
+	if r == nil || successor == nil {
+		done()
+		return
+	}
+	to := world.Address(successor.GetPeerAddress())
+	n.control(to, &wire.PrepareRequest{Domain: string(n.Info.Domain)}, beatTimeout, func(m proto.Message, err error) {
+		prepared, ok := m.(*wire.PrepareReply)
+		if err != nil || !ok || !prepared.GetWilling() {
+			n.handoverLost(successor, err)
+			done()
+			return
+		}
+		n.release(r, successor, prepared, done)
+	})
+}
+
+// release fences this leader and sends its state.
+func (n *Node) release(r *role, successor *wire.NodeInfo, prepared *wire.PrepareReply, done func()) {
+	req := &wire.HandoverRequest{
+		Stamp:         prepared.GetStamp(),
+		Incarnation:   prepared.GetIncarnation(),
+		ConfigVersion: uint64(n.configVersion()),
+		FromAddress:   string(n.Info.Peer),
+	}
+	n.term.Release(req, func(ok bool) {
+		if !ok {
+			done()
+			return
+		}
+		r.records.Save(req)
+		r.ledger.Save(req)
+		for _, f := range r.ledger.Floors() {
+			req.Floors = append(req.Floors, &wire.FloorState{Node: string(f.Node), Incarnation: f.Incarnation, Share: f.Share})
+		}
+		n.role.Store(nil)
+		n.sendHandover(req, successor, done)
+	})
+}
+
+const handoverTimeout = time.Second
+
+func (n *Node) sendHandover(req *wire.HandoverRequest, successor *wire.NodeInfo, done func()) {
+	to := world.Address(successor.GetPeerAddress())
+	n.control(to, req, handoverTimeout, func(m proto.Message, err error) {
+		reply, ok := m.(*wire.HandoverReply)
+		if err != nil || !ok || !reply.GetAccepted() {
+			n.handoverLost(successor, err)
+			done()
+			return
+		}
+		n.beats.learn(&wire.Leader{
+			Domain:      string(n.Info.Domain),
+			Epoch:       req.GetEpoch() + 1,
+			Node:        successor.GetName(),
+			PeerAddress: successor.GetPeerAddress(),
+		})
+		n.Events.Log(event.TermHandedOver, event.Field{Name: "to", Value: successor.GetName()})
+		done()
+	})
+}
+
+func (n *Node) handoverLost(successor *wire.NodeInfo, err error) {
+	n.Events.Log(event.TermHandoverLost, event.Field{Name: "to", Value: successor.GetName()}, event.Field{Name: "error", Value: fmt.Sprint(err)})
+}
+
+// successor is the first other node of the failure domain that does not leave.
+func (n *Node) successor() *wire.NodeInfo {
+	for _, info := range n.roster.Nodes() {
+		isOther := info.GetDomain() == string(n.Info.Domain) && info.GetName() != string(n.Info.Name)
+		if isOther && info.GetState() != wire.NodeState_NODE_STATE_DRAINING {
+			return info
+		}
+	}
+	return nil
+}
+
+func (n *Node) handleHandover(req *wire.HandoverRequest, done func(proto.Message)) {
+	n.mu.Lock()
+	stopping := n.stopping
+	n.mu.Unlock()
+	done(&wire.HandoverReply{Accepted: !stopping && n.term.Accept(req)})
+}
+
+func (n *Node) handlePrepare() *wire.PrepareReply {
+	reply := n.term.Prepare()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	reply.Willing = reply.Willing && !n.stopping
+	return reply
+}
--- a/core/node/lead.go
+++ b/core/node/lead.go
@@ -1,12 +1,9 @@
 package node
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/intent"
 	"wagtailyoke/core/once"
@@ -129,14 +126,6 @@
 	return created
 }
 
-func floorsOf(h *wire.HandoverRequest) []term.Floor {
-	var floors []term.Floor
-	for _, f := range h.GetFloors() {
-		floors = append(floors, term.Floor{Node: world.NodeID(f.GetNode()), Incarnation: f.GetIncarnation(), Share: f.GetShare()})
-	}
-	return floors
-}
-
 // TermRenewed lets the ledger give the shares of the floor that the object now holds.
 func (n *Node) TermRenewed(r term.Record) {
 	if current := n.role.Load(); current != nil && current.epoch == r.Epoch {
@@ -203,130 +192,6 @@
 	return members
 }
 
-// beatLeaders exchanges news with the leaders of the other failure domains.
-func (n *Node) beatLeaders(r *role, now time.Duration) {
-	r.mu.Lock()
-	isDue := now-r.lastBeat >= leaderBeat
-	if isDue {
-		r.lastBeat = now
-	}
-	r.mu.Unlock()
-	if !isDue {
-		return
-	}
-	for _, domain := range n.otherDomains() {
-		n.beatLeader(r, domain)
-	}
-}
-
-func (n *Node) otherDomains() []world.DomainID {
-	var others []world.DomainID
-	for _, domain := range n.config.Load().Domains {
-		if domain != n.Info.Domain {
-			others = append(others, domain)
-		}
-	}
-	return others
-}
-
-// borrow asks the other leaders for tokens that nodes wait for.
-func (n *Node) borrow(r *role) {
-	now := n.Clock.Now()
-	r.mu.Lock()
-	if now-r.lastBeat < borrowBeat {
-		r.mu.Unlock()
-		return
-	}
-	r.lastBeat = now
-	r.mu.Unlock()
-	for _, domain := range n.otherDomains() {
-		n.beatLeader(r, domain)
-	}
-}
-
-func (n *Node) beatLeader(r *role, domain world.DomainID) {
-	leader, ok := n.beats.leaderOf(domain)
-	if !ok {
-		return
-	}
-	req := &wire.BeatRequest{
-		Node:          n.nodeInfo(),
-		Guest:         true,
-		ConfigVersion: uint64(n.configVersion()),
-		Marks:         n.roster.Marks(),
-		Quarantines:   n.quarantine.Export(),
-	}
-	req.Node.Name = leaderBook(n.Info.Domain)
-	req.Book, req.Usages = r.ledger.Borrow(domain, len(n.otherDomains()))
-	sent := n.Clock.Now()
-	to := world.Address(leader.GetPeerAddress())
-	n.control(to, req, beatTimeout, func(m proto.Message, err error) {
-		reply, ok := m.(*wire.BeatReply)
-		if err != nil || !ok || n.role.Load() != r {
-			return
-		}
-		n.leaderAnswered(r, domain, to, reply, sent)
-	})
-}
-
-// leaderBook names a leader as a grantee of another leader.
-func leaderBook(domain world.DomainID) string { return "leader:" + string(domain) }
-
-func (n *Node) leaderAnswered(r *role, domain world.DomainID, from world.Address, reply *wire.BeatReply, sent time.Duration) {
-	n.beats.learn(reply.GetLeaders()...)
-	n.noteConfig(reply, from, sent)
-	n.quarantine.Merge(reply.GetQuarantines())
-	if !reply.GetIsLeader() {
-		n.beats.forgetLeader(domain, world.Epoch(reply.GetEpoch()))
-		return
-	}
-	n.applyRoster(reply)
-	r.ledger.CreditLoan(domain, reply, sent)
-	r.mu.Lock()
-	r.contacted[domain] = n.Clock.Now()
-	r.mu.Unlock()
-	r.noteConfirmed(domain, world.ConfigVersion(reply.GetConfigVersion()))
-}
-
-// noteConfirmed notes a leader's configuration version.
-func (r *role) noteConfirmed(domain world.DomainID, version world.ConfigVersion) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.confirmed[domain] = max(r.confirmed[domain], version)
-}
-
-// leastConfirmed is the version that every leader has in force.
-func (n *Node) leastConfirmed(r *role) world.ConfigVersion {
-	least := n.configVersion()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, other := range n.otherDomains() {
-		least = min(least, r.confirmed[other])
-	}
-	return least
-}
-
-// searchLeader asks the platform for the leader of a silent failure domain.
-func (n *Node) searchLeader(r *role, domain world.DomainID, now time.Duration) {
-	r.mu.Lock()
-	isSilent := now-r.contacted[domain] >= leaderSearch
-	if isSilent {
-		r.contacted[domain] = now
-	}
-	r.mu.Unlock()
-	if !isSilent {
-		return
-	}
-	n.Platform.Get(term.ObjectKey(domain), func(o store.Object, err error) {
-		if err != nil {
-			return
-		}
-		if record, err := term.ParseRecord(o.Value); err == nil {
-			n.beats.learn(leaderOf(record))
-		}
-	})
-}
-
 // handleBeat serves a heartbeat of a node or of another leader.
 func (n *Node) handleBeat(req *wire.BeatRequest) *wire.BeatReply {
 	reply := &wire.BeatReply{
@@ -390,14 +255,6 @@
 	reply.IsSettled = true
 }
 
-// noteLeader takes in a heartbeat of another failure domain's leader.
-func (n *Node) noteLeader(r *role, req *wire.BeatRequest) {
-	domain := world.DomainID(req.GetNode().GetDomain())
-	if req.GetNode().GetName() == leaderBook(domain) && domain != n.Info.Domain {
-		r.noteConfirmed(domain, world.ConfigVersion(req.GetConfigVersion()))
-	}
-}
-
 func (n *Node) handleBegin(req *wire.BeginRequest) *wire.BeginReply {
 	r := n.validRole()
 	if r == nil {
@@ -414,98 +271,3 @@
 	r.records.Finish(req)
 	return &wire.FinishReply{Stored: true}
 }
-
-// handOver passes the term to another ready node of the failure domain.
-func (n *Node) handOver(done func()) {
-	r := n.validRole()
-	successor := n.successor()
-	if r == nil || successor == nil {
-		done()
-		return
-	}
-	to := world.Address(successor.GetPeerAddress())
-	n.control(to, &wire.PrepareRequest{Domain: string(n.Info.Domain)}, beatTimeout, func(m proto.Message, err error) {
-		prepared, ok := m.(*wire.PrepareReply)
-		if err != nil || !ok || !prepared.GetWilling() {
-			n.handoverLost(successor, err)
-			done()
-			return
-		}
-		n.release(r, successor, prepared, done)
-	})
-}
-
-// release fences this leader and sends its state.
-func (n *Node) release(r *role, successor *wire.NodeInfo, prepared *wire.PrepareReply, done func()) {
-	req := &wire.HandoverRequest{
-		Stamp:         prepared.GetStamp(),
-		Incarnation:   prepared.GetIncarnation(),
-		ConfigVersion: uint64(n.configVersion()),
-		FromAddress:   string(n.Info.Peer),
-	}
-	n.term.Release(req, func(ok bool) {
-		if !ok {
-			done()
-			return
-		}
-		r.records.Save(req)
-		r.ledger.Save(req)
-		for _, f := range r.ledger.Floors() {
-			req.Floors = append(req.Floors, &wire.FloorState{Node: string(f.Node), Incarnation: f.Incarnation, Share: f.Share})
-		}
-		n.role.Store(nil)
-		n.sendHandover(req, successor, done)
-	})
-}
-
-const handoverTimeout = time.Second
-
-func (n *Node) sendHandover(req *wire.HandoverRequest, successor *wire.NodeInfo, done func()) {
-	to := world.Address(successor.GetPeerAddress())
-	n.control(to, req, handoverTimeout, func(m proto.Message, err error) {
-		reply, ok := m.(*wire.HandoverReply)
-		if err != nil || !ok || !reply.GetAccepted() {
-			n.handoverLost(successor, err)
-			done()
-			return
-		}
-		n.beats.learn(&wire.Leader{
-			Domain:      string(n.Info.Domain),
-			Epoch:       req.GetEpoch() + 1,
-			Node:        successor.GetName(),
-			PeerAddress: successor.GetPeerAddress(),
-		})
-		n.Events.Log(event.TermHandedOver, event.Field{Name: "to", Value: successor.GetName()})
-		done()
-	})
-}
-
-func (n *Node) handoverLost(successor *wire.NodeInfo, err error) {
-	n.Events.Log(event.TermHandoverLost, event.Field{Name: "to", Value: successor.GetName()}, event.Field{Name: "error", Value: fmt.Sprint(err)})
-}
-
-// successor is the first other node of the failure domain that does not leave.
-func (n *Node) successor() *wire.NodeInfo {
-	for _, info := range n.roster.Nodes() {
-		isOther := info.GetDomain() == string(n.Info.Domain) && info.GetName() != string(n.Info.Name)
-		if isOther && info.GetState() != wire.NodeState_NODE_STATE_DRAINING {
-			return info
-		}
-	}
-	return nil
-}
-
-func (n *Node) handleHandover(req *wire.HandoverRequest, done func(proto.Message)) {
-	n.mu.Lock()
-	stopping := n.stopping
-	n.mu.Unlock()
-	done(&wire.HandoverReply{Accepted: !stopping && n.term.Accept(req)})
-}
-
-func (n *Node) handlePrepare() *wire.PrepareReply {
-	reply := n.term.Prepare()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	reply.Willing = reply.Willing && !n.stopping
-	return reply
-}
--- /dev/null
+++ b/core/node/leaders.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/term"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// beatLeaders exchanges news with the leaders of the other failure domains.
+func (n *Node) beatLeaders(r *role, now time.Duration) {
+	r.mu.Lock()
+	isDue := now-r.lastBeat >= leaderBeat
+	if isDue {
+		r.lastBeat = now
+	}
+	r.mu.Unlock()
+	if !isDue {
+		return
+	}
+	for _, domain := range n.otherDomains() {
+		n.beatLeader(r, domain)
+	}
+}
+
+func (n *Node) otherDomains() []world.DomainID {
+	var others []world.DomainID
+	for _, domain := range n.config.Load().Domains {
+		if domain != n.Info.Domain {
+			others = append(others, domain)
+		}
+	}
+	return others
+}
+
+// borrow asks the other leaders for tokens that nodes wait for.
+func (n *Node) borrow(r *role) {
+	now := n.Clock.Now()
+	r.mu.Lock()
+	if now-r.lastBeat < borrowBeat {
+		r.mu.Unlock()
+		return
+	}
+	r.lastBeat = now
+	r.mu.Unlock()
+	for _, domain := range n.otherDomains() {
+		n.beatLeader(r, domain)
+	}
+}
+
+func (n *Node) beatLeader(r *role, domain world.DomainID) {
+	leader, ok := n.beats.leaderOf(domain)
+	if !ok {
+		return
+	}
+	req := &wire.BeatRequest{
+		Node:          n.nodeInfo(),
+		Guest:         true,
+		ConfigVersion: uint64(n.configVersion()),
+		Marks:         n.roster.Marks(),
+		Quarantines:   n.quarantine.Export(),
+	}
+	req.Node.Name = leaderBook(n.Info.Domain)
+	req.Book, req.Usages = r.ledger.Borrow(domain, len(n.otherDomains()))
+	sent := n.Clock.Now()
+	to := world.Address(leader.GetPeerAddress())
+	n.control(to, req, beatTimeout, func(m proto.Message, err error) {
+		reply, ok := m.(*wire.BeatReply)
+		if err != nil || !ok || n.role.Load() != r {
+			return
+		}
+		n.leaderAnswered(r, domain, to, reply, sent)
+	})
+}
+
+// leaderBook names a leader as a grantee of another leader.
+func leaderBook(domain world.DomainID) string { return "leader:" + string(domain) }
+
+func (n *Node) leaderAnswered(r *role, domain world.DomainID, from world.Address, reply *wire.BeatReply, sent time.Duration) {
+	n.beats.learn(reply.GetLeaders()...)
+	n.noteConfig(reply, from, sent)
+	n.quarantine.Merge(reply.GetQuarantines())
+	if !reply.GetIsLeader() {
+		n.beats.forgetLeader(domain, world.Epoch(reply.GetEpoch()))
+		return
+	}
+	n.applyRoster(reply)
+	r.ledger.CreditLoan(domain, reply, sent)
+	r.mu.Lock()
+	r.contacted[domain] = n.Clock.Now()
+	r.mu.Unlock()
+	r.noteConfirmed(domain, world.ConfigVersion(reply.GetConfigVersion()))
+}
+
+// noteConfirmed notes a leader's configuration version.
+func (r *role) noteConfirmed(domain world.DomainID, version world.ConfigVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmed[domain] = max(r.confirmed[domain], version)
+}
+
+// leastConfirmed is the version that every leader has in force.
+func (n *Node) leastConfirmed(r *role) world.ConfigVersion {
+	least := n.configVersion()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range n.otherDomains() {
+		least = min(least, r.confirmed[other])
+	}
+	return least
+}
+
+// searchLeader asks the platform for the leader of a silent failure domain.
+func (n *Node) searchLeader(r *role, domain world.DomainID, now time.Duration) {
+	r.mu.Lock()
+	isSilent := now-r.contacted[domain] >= leaderSearch
+	if isSilent {
+		r.contacted[domain] = now
+	}
+	r.mu.Unlock()
+	if !isSilent {
+		return
+	}
+	n.Platform.Get(term.ObjectKey(domain), func(o store.Object, err error) {
+		if err != nil {
+			return
+		}
+		if record, err := term.ParseRecord(o.Value); err == nil {
+			n.beats.learn(leaderOf(record))
+		}
+	})
+}
+
+// noteLeader takes in a heartbeat of another failure domain's leader.
+func (n *Node) noteLeader(r *role, req *wire.BeatRequest) {
+	domain := world.DomainID(req.GetNode().GetDomain())
+	if req.GetNode().GetName() == leaderBook(domain) && domain != n.Info.Domain {
+		r.noteConfirmed(domain, world.ConfigVersion(req.GetConfigVersion()))
+	}
+}
--- /dev/null
+++ b/core/node/retry.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"net/http"
+
+	"wagtailyoke/core/once"
+	"wagtailyoke/core/world"
+)
+
+func isEndpointFault(r *world.Reply) bool {
+	switch r.Code {
+	case world.CodeUnreachable, world.CodeUpstreamFailed, world.CodeAnswerCut:
+		return true
+	case world.CodeNone:
+		return r.Status == http.StatusInternalServerError || r.Status == http.StatusBadGateway
+	default:
+		return false
+	}
+}
+
+func reasonOf(r *world.Reply) world.Code {
+	if r.Code == world.CodeNone {
+		return world.CodeUpstreamFailed
+	}
+	return r.Code
+}
+
+// shouldRetry spends a retry if the failure is worth one and repeating is safe.
+func (f *flight) shouldRetry(r *world.Reply) bool {
+	if r.Final || !isRetryable(r) {
+		return false
+	}
+	if !f.call.Idempotent && r.Run != world.RunNo {
+		return false
+	}
+	if f.n.quarantine.Standing(f.call.Fingerprint) != once.StandingClear {
+		return false
+	}
+	if f.n.Clock.Now() >= f.call.Deadline {
+		return false
+	}
+	if isFreeRetry(r) && len(f.tried) <= freeRetries {
+		return true
+	}
+	return f.n.buckets.of(f.call.Service).Spend() && f.budget.Spend()
+}
+
+// freeRetries bounds the moves to another endpoint that cost no retry.
+const freeRetries = 1
+
+// isFreeRetry: an endpoint that leaves did no work for the call, and sending it on
+// is routing rather than a repetition.
+func isFreeRetry(r *world.Reply) bool { return r.Code == world.CodeDraining && r.Run == world.RunNo }
+
+func isRetryable(r *world.Reply) bool {
+	switch r.Code {
+	case world.CodeUnreachable, world.CodeDraining, world.CodeQueueFull, world.CodeUpstreamFailed,
+		world.CodeUpstreamShed, world.CodeAnswerCut, world.CodeStaleEpoch:
+		return true
+	case world.CodeNone:
+		return r.Status == http.StatusBadGateway || r.Status == http.StatusServiceUnavailable
+	default:
+		return false
+	}
+}
--- a/core/quota/gate.go
+++ b/core/quota/gate.go
@@ -102,11 +102,18 @@
 	return found
 }
 
-// Waiting returns the number of calls of a customer that wait for a token.
-func (g *Gate) Waiting(customer world.CustomerID) int {
-	n := 0
-	g.waiters.With(customer, func(entries map[world.CustomerID][]*waiter) { n = len(entries[customer]) })
-	return n
+// Waiting counts the calls that wait for a token. It is taken before a stock's
+// report, not during it: Serve locks the waiting calls first and the stock second.
+func (g *Gate) Waiting() Waiting {
+	waiting := Waiting{}
+	g.waiters.Each(func(entries map[world.CustomerID][]*waiter) {
+		for customer, queue := range entries {
+			if len(queue) > 0 {
+				waiting[customer] = len(queue)
+			}
+		}
+	})
+	return waiting
 }
 
 // Serve hands new tokens to waiting calls, oldest first.
@@ -127,14 +134,3 @@
 		w.done(true)
 	}
 }
-
-// HasWaiting reports whether any call waits for a token.
-func (g *Gate) HasWaiting() bool {
-	found := false
-	g.waiters.Each(func(entries map[world.CustomerID][]*waiter) {
-		for _, queue := range entries {
-			found = found || len(queue) > 0
-		}
-	})
-	return found
-}
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 			}
 		}
 		beat := func(rt *rapid.T, i int) {
-			id, usages := stocks[i].Report(func(world.CustomerID) int { return 2 })
+			id, usages := stocks[i].Report(quota.Waiting{"c": 2})
 			sent := clock.Now()
 			for range rapid.IntRange(0, 2).Draw(rt, "copies") {
 				there := time.Duration(rapid.IntRange(0, 1200).Draw(rt, "there")) * time.Millisecond
@@ -58,7 +59,7 @@
 			"beat": func(rt *rapid.T) { beat(rt, rapid.IntRange(0, 2).Draw(rt, "node")) },
 			"fastBeat": func(rt *rapid.T) {
 				i := rapid.IntRange(0, 2).Draw(rt, "node")
-				id, usages := stocks[i].Report(func(world.CustomerID) int { return 3 })
+				id, usages := stocks[i].Report(quota.Waiting{"c": 3})
 				reply := &wire.BeatReply{IsLeader: true}
 				ledger.Serve(fmt.Sprint(i), false, id, usages, reply)
 				stocks[i].Credit(reply, clock.Now())
@@ -132,3 +133,42 @@
 		t.Error("the book was not reset")
 	}
 }
+
+// TestGateUnderThreads takes, reports, credits and serves at once. A report once asked
+// for the waiting calls while it held the stock, and Serve the other way round.
+func TestGateUnderThreads(t *testing.T) {
+	clock := timer.NewReal()
+	ledger := quota.NewLedger(clock, invar.New(func(v invar.Violation) { t.Errorf("%v", v) }), "d", testLease, true)
+	ledger.Install(testConfig("d"), 0)
+	stock := quota.NewStock(clock, testLease, 1)
+	gate := quota.NewGate(clock, time.Millisecond, func() {}, func(world.CustomerID) bool { return false })
+	gate.SetStocks(stock)
+	var takes, beats sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		beats.Add(1)
+		go func() {
+			defer beats.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				sent := clock.Now()
+				id, usages := stock.Report(gate.Waiting())
+				reply := &wire.BeatReply{}
+				ledger.Serve("n", false, id, usages, reply)
+				stock.Credit(reply, sent)
+				gate.Serve()
+			}
+		}()
+	}
+	for range 20_000 {
+		takes.Add(1)
+		go gate.Take("c", func(bool) { takes.Done() })
+	}
+	takes.Wait()
+	close(stop)
+	beats.Wait()
+}
--- a/core/quota/stock.go
+++ b/core/quota/stock.go
@@ -93,9 +93,11 @@
 	return h
 }
 
-// Report returns the book id and the usages to send with a heartbeat. waiting
-// tells how many calls of a customer wait for a token.
-func (s *Stock) Report(waiting func(world.CustomerID) int) (uint64, []*wire.Usage) {
+// Waiting counts the calls that wait for a token, by customer.
+type Waiting map[world.CustomerID]int
+
+// Report returns the book id and the usages to send with a heartbeat.
+func (s *Stock) Report(waiting Waiting) (uint64, []*wire.Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
@@ -112,8 +114,8 @@
 			Granted:  h.granted,
 			Spent:    h.spent,
 			Returned: h.returned,
-			Want:     h.want(waiting(customer), s.closing),
-			Urgent:   int64(waiting(customer)),
+			Want:     h.want(waiting[customer], s.closing),
+			Urgent:   int64(waiting[customer]),
 			AgesMs:   h.ages(now),
 		})
 	}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	promclient "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -51,7 +52,9 @@
 
 // New returns a meter. The closer flushes it.
 func New() (*Meter, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several nodes run in one process, as tests do.
+	registry := promclient.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
