Tell given-up calls from failures; leave failing endpoints out also at their own node

Found while reading: - A call that was given up ends like a broken connection. Status 500 may be retried. - Announcements of VMs that do not come back stayed for ever; the leader removes them.

--- a/core/admit/limit_test.go
+++ b/core/admit/limit_test.go
@@ -1,6 +1,7 @@
 package admit_test
 
 import (
+	"fmt"
 	"math/rand"
 	"testing"
 	"time"
@@ -54,7 +55,7 @@
 	inUpstream []time.Duration
 }
 
-func newLimited(t *testing.T, slots int, mean time.Duration, options admit.LimitOptions) *limited {
+func newLimited(t testing.TB, slots int, mean time.Duration, options admit.LimitOptions) *limited {
 	clock := timer.NewVirtual()
 	l := &limited{clock: clock, importance: world.ImportanceLookup, s: &service{clock: clock, random: rand.New(rand.NewSource(1)), slots: slots, mean: mean}}
 	l.limiter = admit.NewLimiter(clock, options)
@@ -173,3 +174,27 @@
 		t.Errorf("%.4f of the calls were shed at 0.88 of the capacity", share)
 	}
 }
+
+// BenchmarkLimitSweep runs 60 slots at three times the capacity with other tolerances
+// and decreases: goodput as a share of the capacity, and the time in the upstream as a
+// multiple of what it needs.
+func BenchmarkLimitSweep(b *testing.B) {
+	const slots, overload = 60, 3
+	const mean = 120 * time.Millisecond
+	for _, tolerance := range []float64{1.1, 1.15, 1.2, 1.3, 1.5} {
+		for _, decrease := range []float64{0.6, 0.75, 0.9} {
+			b.Run(fmt.Sprintf("tolerance=%.2f/decrease=%.2f", tolerance, decrease), func(b *testing.B) {
+				var good, inflation float64
+				for b.Loop() {
+					l := newLimited(b, slots, mean, admit.LimitOptions{Tolerance: tolerance, Decrease: decrease})
+					capacity := slots / mean.Seconds()
+					l.offer(overload*capacity, 5*time.Second)
+					good = l.offer(overload*capacity, 30*time.Second) / capacity
+					inflation = l.meanInUpstream().Seconds() / mean.Seconds()
+				}
+				b.ReportMetric(good, "goodput")
+				b.ReportMetric(inflation, "inflation")
+			})
+		}
+	}
+}
--- a/core/node/beat.go
+++ b/core/node/beat.go
@@ -10,6 +10,7 @@
 
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/quota"
+	"wagtailyoke/core/roster"
 	"wagtailyoke/core/route"
 	"wagtailyoke/core/term"
 	"wagtailyoke/core/timer"
@@ -231,6 +232,7 @@
 	b := &n.beats
 	n.term.Heard(world.Epoch(reply.GetEpoch()))
 	b.mu.Lock()
+	wasForgotten := n.Clock.Now()-b.ownHeard > roster.ForgetAfter
 	b.ownHeard = n.Clock.Now()
 	if reply.GetEpoch() > b.ackEpoch || reply.GetEpoch() == b.ackEpoch && reply.GetStamp() > b.ack {
 		b.ack, b.ackEpoch = reply.GetStamp(), reply.GetEpoch()
@@ -242,6 +244,9 @@
 		}
 	}
 	b.mu.Unlock()
+	if wasForgotten {
+		n.announce()
+	}
 }
 
 // useStocks makes the gate spend from all stocks whose lease runs, own one first.
--- a/core/node/crash.go
+++ b/core/node/crash.go
@@ -68,11 +68,11 @@
 // upstreamBroke looks whether the upstream died when a connection to it broke.
 func (n *Node) upstreamBroke(r *run, err error) {
 	n.mu.Lock()
-	if r.generation != n.generation {
+	if r.generation != n.generation || n.probing {
 		n.mu.Unlock()
 		return
 	}
-	n.generation++
+	n.probing = true
 	var fingerprints []uint64
 	if errors.Is(err, ErrBroken) {
 		for other := range n.inFlight {
@@ -80,11 +80,21 @@
 		}
 	}
 	n.mu.Unlock()
-	n.Upstream.Probe(func(alive bool) {
-		if !alive {
-			n.upstreamDied(fingerprints)
-		}
-	})
+	n.Upstream.Probe(func(alive bool) { n.probed(alive, fingerprints) })
+}
+
+// probed ends a look at the upstream. The calls of its life that has ended count for
+// one crash, however late their connections break.
+func (n *Node) probed(alive bool, fingerprints []uint64) {
+	n.mu.Lock()
+	n.probing = false
+	if !alive {
+		n.generation++
+	}
+	n.mu.Unlock()
+	if !alive {
+		n.upstreamDied(fingerprints)
+	}
 }
 
 // probePeriod is how often a dead upstream is probed.
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -171,13 +171,14 @@
 // room: one node in the path instead of two.
 func (n *Node) chooseTarget(c *world.Call, isPublic bool, tried []world.NodeID) (route.Endpoint, bool) {
 	isOwn := c.Service == n.Info.Service && len(tried) == 0
-	if isPublic && isOwn && n.state() == wire.NodeState_NODE_STATE_READY && n.queue.HasRoom() {
+	isUsable := isOwn && n.state() == wire.NodeState_NODE_STATE_READY
+	if isPublic && isUsable && n.queue.HasRoom() && !n.picker.IsExcluded(n.Info.Name) {
 		return n.ownEndpoint(), true
 	}
 	if e, ok := n.picker.Pick(c.Service, tried); ok {
 		return e, true
 	}
-	if isOwn && n.state() == wire.NodeState_NODE_STATE_READY {
+	if isUsable {
 		return n.ownEndpoint(), true
 	}
 	return route.Endpoint{}, false
@@ -198,7 +199,8 @@
 	f.n.Checks.That(r.BudgetLeft <= lent, invar.BudgetBounded, "request %s: %d retries came back of %d", f.call.ID, r.BudgetLeft, lent)
 	f.budget.Return(r.BudgetLeft)
 	f.n.picker.Done(target.Node, route.Outcome{
-		Failed:   isEndpointFault(r),
+		// A call that was given up here ends as if its connection had broken.
+		Failed:   isEndpointFault(r) && !f.isOver(),
 		Load:     r.Load,
 		Limit:    r.Limit,
 		Draining: r.Draining,
--- a/core/node/lead.go
+++ b/core/node/lead.go
@@ -167,7 +167,10 @@
 		PeerAddress: string(n.Info.Peer),
 	})
 	r.ledger.Confirm(n.leastConfirmed(r))
-	n.roster.Sweep()
+	for _, node := range n.roster.Sweep() {
+		// A node that is only cut off announces itself again when it is back.
+		n.Platform.Delete(AnnouncementKey(node), func(error) {})
+	}
 	if version := n.roster.Version(); version != r.rosterVersion {
 		r.rosterVersion = version
 		r.members = n.members()
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -161,12 +161,14 @@
 	upstreamState wire.NodeState
 	// generation counts the upstream's lives.
 	generation uint64
-	inFlight   map[*run]bool
-	tokens     map[string]*run
-	flights    int
-	stopping   bool
-	stopped    func()
-	stops      []timer.Stop
+	// probing means that a look at the upstream is under way.
+	probing  bool
+	inFlight map[*run]bool
+	tokens   map[string]*run
+	flights  int
+	stopping bool
+	stopped  func()
+	stops    []timer.Stop
 
 	beats   beats
 	leaders *knownLeaders
--- a/core/node/promises_test.go
+++ b/core/node/promises_test.go
@@ -7,9 +7,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"wagtailyoke/core/intent"
 	"wagtailyoke/core/node"
+	"wagtailyoke/core/store"
 	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
 )
@@ -206,6 +208,71 @@
 	}
 }
 
+// TestCancelledCallHidesNoCrash: a call that its caller gave up looks like a broken
+// connection. The crash that follows has to be seen all the same.
+func TestCancelledCallHidesNoCrash(t *testing.T) {
+	c := qt.New(t)
+	f := newCalm(1, 1, 2)
+	v := f.vms[1]
+	v.up.slow = 50
+	f.send(v, "c0", http.MethodGet, "/b/long", "", nil)
+	header := http.Header{node.HeaderKey: {"key-c0"}}
+	cancel := v.n.ServePublic(node.Incoming{ID: "given-up", Method: http.MethodGet, Path: "/b/y", Header: header}, func(*world.Reply) {})
+	f.run(20 * time.Millisecond)
+	cancel()
+	f.run(20 * time.Millisecond)
+	c.Assert(v.n.Status().Suspects, qt.Equals, 0)
+	v.up.crash()
+	f.run(20 * time.Millisecond)
+	c.Assert(v.n.Status().Suspects, qt.Equals, 1)
+	expectClean(t, 1, f)
+}
+
+// TestFailingEndpointIsLeftOut: an upstream that accepts connections and fails every
+// call is left out, also by the entry node beside it.
+func TestFailingEndpointIsLeftOut(t *testing.T) {
+	f := newCalm(2, 1, 8)
+	f.vms[1].up.failing = true
+	f.run(time.Second)
+	served := 0
+	const calls = 400
+	for range calls {
+		f.send(f.vms[1], "c0", http.MethodGet, "/b/y", "", func(s *sent) {
+			if s.reply.IsSuccess() {
+				served++
+			}
+		})
+		f.run(25 * time.Millisecond)
+	}
+	expectClean(t, 2, f)
+	t.Logf("%d of %d calls served", served, calls)
+	if served < calls*98/100 {
+		t.Errorf("only %d of %d calls were served beside a failing upstream", served, calls)
+	}
+}
+
+// TestGoneNodesAreForgotten: the announcement of a VM that does not come back is
+// removed, and that of one that was only cut off is there again.
+func TestGoneNodesAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	f := newCalm(3, 1, 4)
+	gone, cut := f.vms[1], f.vms[2]
+	if f.leaderOf("d0") == gone || f.leaderOf("d0") == cut {
+		gone, cut = f.vms[0], f.vms[3]
+	}
+	gone.kill()
+	cut.frozenUntil = f.clock.Now() + 80*time.Second
+	f.run(75 * time.Second)
+	for _, v := range []*vm{gone, cut} {
+		_, err := f.memory.Get(node.AnnouncementKey(v.info.Name))
+		c.Check(errors.Is(err, store.ErrNotFound), qt.IsTrue, qt.Commentf("%s", v.info.Name))
+	}
+	f.run(15 * time.Second)
+	_, err := f.memory.Get(node.AnnouncementKey(cut.info.Name))
+	c.Assert(err, qt.IsNil)
+	expectClean(t, 3, f)
+}
+
 // TestReservationResends: a resend that waits for or follows the first run gets its
 // answer, from any node.
 func TestReservationResends(t *testing.T) {
--- a/core/node/retry.go
+++ b/core/node/retry.go
@@ -58,7 +58,7 @@
 		world.CodeUpstreamShed, world.CodeAnswerCut, world.CodeStaleEpoch:
 		return true
 	case world.CodeNone:
-		return r.Status == http.StatusBadGateway || r.Status == http.StatusServiceUnavailable
+		return r.Status >= http.StatusInternalServerError
 	default:
 		return false
 	}
--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -67,14 +67,16 @@
 
 // upstream is a fake service endpoint.
 type upstream struct {
-	v          *vm
-	life       int
-	down       bool
-	running    int
-	slots      int
-	mean       time.Duration
-	slow       float64
-	leavingAt  time.Duration
+	v         *vm
+	life      int
+	down      bool
+	running   int
+	slots     int
+	mean      time.Duration
+	slow      float64
+	leavingAt time.Duration
+	// failing answers every call with 500, while the upstream looks healthy.
+	failing    bool
 	jobs       map[int]*job
 	nextJob    int
 	totalDowns int
@@ -503,7 +505,10 @@
 		took = took * time.Duration(busy) / time.Duration(u.slots)
 	}
 	f.clock.After(took, func() { u.children(c, token, id, finish) })
-	return func() { delete(u.jobs, id) }
+	return func() {
+		// A request that was given up ends with an error, as over a socket.
+		f.clock.After(nearLatency, func() { finish(nil, node.ErrBroken) })
+	}
 }
 
 func (u *upstream) recover() {
@@ -517,6 +522,10 @@
 	if u.jobs[id] == nil {
 		return
 	}
+	if u.failing {
+		finish(&world.Reply{Status: http.StatusInternalServerError, Header: http.Header{}}, nil)
+		return
+	}
 	_, query, _ := strings.Cut(c.Path, "?child=")
 	if query == "" {
 		body := fmt.Sprintf("%s|%s|%s", c.ID, c.Customer, c.Key)
--- a/core/node/target.go
+++ b/core/node/target.go
@@ -174,7 +174,9 @@
 // answered takes in the upstream's answer.
 func (r *run) answered(reply *world.Reply, err error) {
 	if err != nil {
-		r.n.upstreamBroke(r, err)
+		if !r.isOver() {
+			r.n.upstreamBroke(r, err)
+		}
 		r.end(r.brokenReply(err), admit.Sample{Ignore: true}, false)
 		return
 	}
@@ -188,6 +190,13 @@
 	r.end(reply, sample, true)
 }
 
+// isOver reports whether the call was given up or answered already.
+func (r *run) isOver() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.over
+}
+
 // brokenReply distinguishes a connection that was never made from one that broke.
 func (r *run) brokenReply(err error) *world.Reply {
 	if errors.Is(err, ErrNotSent) {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -27,8 +27,8 @@
 const (
 	// GoneAfter is the silence after which a leader takes a node off the roster.
 	GoneAfter = 1500 * time.Millisecond
-	// forgetAfter is how long a node that is gone stays listed as such.
-	forgetAfter = time.Minute
+	// ForgetAfter is how long a node that is gone stays listed as such.
+	ForgetAfter = time.Minute
 )
 
 // Roster keeps the nodes of all failure domains.
@@ -106,12 +106,14 @@
 	r.changed++
 }
 
-// Sweep marks silent nodes of the own domain as gone.
-func (r *Roster) Sweep() {
+// Sweep marks silent nodes of the own domain as gone, and returns those that it
+// forgets since they have been gone for ForgetAfter.
+func (r *Roster) Sweep() []world.NodeID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.part(r.domain)
 	now := r.clock.Now()
+	var forgotten []world.NodeID
 	for _, node := range sortedNodes(p.entries) {
 		e := p.entries[node]
 		silent := now - r.heard[node]
@@ -121,11 +123,13 @@
 			gone := proto.Clone(e.Node).(*wire.NodeInfo)
 			gone.State = wire.NodeState_NODE_STATE_GONE
 			r.setLocked(p, node, gone)
-		case isGone && silent > forgetAfter:
+		case isGone && silent > ForgetAfter:
 			delete(p.entries, node)
 			delete(r.heard, node)
+			forgotten = append(forgotten, node)
 		}
 	}
+	return forgotten
 }
 
 func sortedNodes(entries map[world.NodeID]*wire.RosterEntry) []world.NodeID {
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -240,6 +240,14 @@
 	}
 }
 
+// IsExcluded reports whether an endpoint is left out because it failed.
+func (p *Picker) IsExcluded(node world.NodeID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.nodes[node]
+	return s != nil && p.clock.Now() < s.excluded
+}
+
 // PublicOf returns a public address in a failure domain, if one is known.
 func (p *Picker) PublicOf(domain world.DomainID) (world.Address, bool) {
 	p.mu.Lock()
