--- a/cmd/standin/latency.go
+++ b/cmd/standin/latency.go
@@ -25,6 +25,9 @@
 	Direct   float64 `json:"directMs"`
 	Through  float64 `json:"throughMs"`
 	Added    float64 `json:"addedMs"`
+	// TwoNodes passes an entry node of another service, as a call between services does.
+	TwoNodes      float64 `json:"twoNodesMs"`
+	AddedTwoNodes float64 `json:"addedTwoNodesMs"`
 }
 
 // Shape of the comparison.
@@ -40,12 +43,13 @@
 	path := l.fastPath(e.Service)
 	direct := hdrhistogram.New(leastLatency, mostLatency, latencyDigit)
 	through := hdrhistogram.New(leastLatency, mostLatency, latencyDigit)
-	result := added{Calls: 2 * latencyRounds}
+	twoNodes := hdrhistogram.New(leastLatency, mostLatency, latencyDigit)
+	result := added{Calls: 3 * latencyRounds}
 	for range latencyRounds {
 		for _, side := range []struct {
 			address string
 			h       *hdrhistogram.Histogram
-		}{{e.Upstream, direct}, {e.Public, through}} {
+		}{{e.Upstream, direct}, {e.Public, through}, {l.otherEntry(e), twoNodes}} {
 			took, ok := l.timeCall(side.address, http.MethodGet, path)
 			if !ok {
 				result.Failed++
@@ -58,14 +62,28 @@
 	for _, q := range []float64{50, 90, 99} {
 		d := float64(direct.ValueAtQuantile(q)) / microsPerMs
 		t := float64(through.ValueAtQuantile(q)) / microsPerMs
-		result.Rows = append(result.Rows, addedRow{Quantile: q, Direct: d, Through: t, Added: t - d})
+		two := float64(twoNodes.ValueAtQuantile(q)) / microsPerMs
+		result.Rows = append(result.Rows, addedRow{
+			Quantile: q, Direct: d, Through: t, Added: t - d, TwoNodes: two, AddedTwoNodes: two - d,
+		})
 	}
 	return l.reportAdded(&result)
 }
 
+// otherEntry is the public address of a node of another service in the same domain.
+func (l *load) otherEntry(e endpoint) string {
+	for _, other := range l.d.Endpoints {
+		if other.Domain == e.Domain && other.Service != e.Service {
+			return other.Public
+		}
+	}
+	return e.Public
+}
+
 func (l *load) reportAdded(a *added) error {
 	for _, r := range a.Rows {
-		fmt.Printf("p%-3.0f direct %7.3f ms  through its node %7.3f ms  added %6.3f ms\n", r.Quantile, r.Direct, r.Through, r.Added)
+		fmt.Printf("p%-3.0f direct %7.3f ms  through its node %7.3f ms, added %6.3f ms  through two nodes %7.3f ms, added %6.3f ms\n",
+			r.Quantile, r.Direct, r.Through, r.Added, r.TwoNodes, r.AddedTwoNodes)
 	}
 	fmt.Printf("%d of %d calls failed\n", a.Failed, a.Calls)
 	if l.options.Out == "" {
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -19,6 +19,7 @@
 # pid_of TEXT: the id of a process started here whose command line holds TEXT.
 pid_of() {
   for p in "${pids[@]}"; do
+    [ -r "/proc/$p/cmdline" ] || continue
     if tr '\0' ' ' <"/proc/$p/cmdline" 2>/dev/null | grep -q -e "$1"; then echo "$p"; return; fi
   done
 }
@@ -53,11 +54,13 @@
   "$bin/wagtailyoke" confirm "$plan"
 }
 
-# await_ready NODES: waits until all nodes are ready and each domain has a leader.
+# await_ready: waits until every node of the folder is ready and each domain has a leader.
 await_ready() {
+  want=$(wc -l <"$dir/nodes.cmd")
   for _ in $(seq 100); do
     "$bin/wagtailyoke" status >"$dir/status.txt" 2>&1
-    grep -q 'Nothing is wrong' "$dir/status.txt" && ! grep -qE ' [0-9]+ of [0-9]+' <(grep -vE ' ([0-9]+) of \1 nodes ready' "$dir/status.txt") && return 0
+    awk -v want="$want" '/nodes ready/ { ready += $2; if ($NF == "none") bad = 1 }
+      END { exit bad || ready != want }' "$dir/status.txt" && return 0
     sleep 0.2
   done
   cat "$dir/status.txt"
