--- a/core/node/node.go
+++ b/core/node/node.go
@@ -8,9 +8,12 @@
 //	n.ServePublic(incoming, func(r *world.Reply) { ... })
 //	n.Stop(func() { ... })
 //
-// A call comes in at ServePublic or ServeEgress (serve.go), is carried by a
-// flight over its attempts (flight.go) and ends at the node of the chosen endpoint
-// (target.go). Heartbeats are in beat.go, the leader's role in lead.go.
+// A call comes in at ServePublic or ServeEgress (serve.go). A flight carries it over its
+// attempts (flight.go, retry.go), with an idempotency record if it needs one
+// (record.go), to the node of the chosen endpoint (target.go). Crashes of the upstream
+// are in crash.go, heartbeats in beat.go, news that cannot wait for them in notice.go,
+// the leader's role in lead.go, leaders.go and handover.go, the spread of the
+// configuration in config.go, the graceful shutdown in stop.go.
 package node
 
 import (
@@ -209,9 +212,7 @@
 // Start begins heartbeats and announces the node.
 func (n *Node) Start() {
 	n.Events.Log(event.NodeStarted, event.Field{Name: "domain", Value: n.Info.Domain}, event.Field{Name: "service", Value: n.Info.Service})
-	n.stops = append(n.stops,
-		timer.Every(n.Clock, tickPeriod, n.tick),
-	)
+	n.stops = append(n.stops, timer.Every(n.Clock, tickPeriod, n.tick))
 	n.beatRegularly()
 	n.announce()
 	n.fetchConfig()
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -96,6 +96,8 @@
 	return max(0, a.demand-float64(a.part.Rate)/float64(Token)*deficitShare)
 }
 
+// book is what one life of a grantee was granted. A grantee that starts anew, or whose
+// tokens expired, opens one with a higher id.
 type book struct {
 	id        uint64
 	isLeader  bool
@@ -161,8 +163,7 @@
 		if confirmed < c.ChangedAt {
 			a.part = smaller(part, old)
 		}
-		// A customer's first pool is full only in the version that made it:
-		// afterwards an earlier term may have granted it already.
+		// The pool starts empty: an earlier term may have granted the burst already.
 		l.accounts[c.ID] = a
 	}
 	l.earnLocked(a)
--- a/core/quota/part.go
+++ b/core/quota/part.go
@@ -5,7 +5,8 @@
 // a Ledger: it earns the domain's part of the rate, and grants tokens to nodes
 // ahead of demand. A node keeps a Stock of granted tokens. Tokens that are
 // granted but not yet reported as spent count against the burst, so the number
-// of tokens that exist anywhere never exceeds it.
+// of tokens that exist anywhere never exceeds it. Leaders lend each other tokens
+// (Loan), and a node that hears from no leader earns a share of its own (Floor).
 //
 // # Usage
 //
