--- a/core/node/chaos_test.go
+++ b/core/node/chaos_test.go
@@ -360,6 +360,9 @@
 	for seed := first; seed < first+seeds; seed++ {
 		f := runChaos(seed, 2*time.Minute)
 		expectClean(t, seed, f)
+		if t.Failed() {
+			return
+		}
 		if seed%20 == 0 {
 			t.Logf("up to seed %d", seed)
 		}
--- a/core/term/term_test.go
+++ b/core/term/term_test.go
@@ -363,6 +363,9 @@
 			if holders != 1 {
 				t.Errorf("seed %d, %d members: %d holders at the end", seed, members, holders)
 			}
+			if t.Failed() {
+				return
+			}
 		}
 	}
 	t.Logf("%d terms were won and %d of them handed over in %d runs", takes, handovers, 5*seeds)
