--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -31,23 +31,23 @@
 plant silence-too-short core/term/takeover.go 's/required: t.options.Fence + t.options.Round,/required: t.options.Fence \/ 4,/' TestOneHolder
 plant version-not-pinned core/term/takeover.go 's/^\tt.write(r.version, r.nextRecord()/\to, _ := t.version, 0\n\tt.write(o, r.nextRecord()/' TestOneHolder
 plant evidence-from-arrival core/term/term.go 's/^\t\tt.evidence\[member\] = sent$/\t\tt.evidence[member] = t.clock.Now() + t.options.Fence/' TestOneHolder
-plant confirmed-at-answer core/term/term.go 's/^\tt.confirmedAt = max(t.confirmedAt, sent)$/\tt.confirmedAt = t.clock.Now()/' TestOneHolder
+plant confirmed-at-answer core/term/cycle.go 's/^\tt.confirmedAt = max(t.confirmedAt, sent)$/\tt.confirmedAt = t.clock.Now()/' TestOneHolder
 plant no-settling core/quota/ledger.go 's/^\t\tl.settled += .*/\t\tl.settled += 0/' "$chaos"
 plant tokens-never-expire core/quota/stock.go 's/s.clock.Now() >= s.expiry || h.tokens() <= 0/h.tokens() <= 0/; s/if s.expiry != 0 \&\& s.clock.Now() >= s.expiry {/if false {/' "$chaos"
-plant grants-not-counted core/quota/ledger.go 's/^\treturn max(0, a.part.Burst+a.borrowed-a.outstanding)$/\treturn max(0, a.part.Burst+a.borrowed)/' "TestLedger|$chaos"
+plant grants-not-counted core/quota/ledger.go 's/^\treturn max(0, burst+a.borrowed-a.outstanding)$/\treturn max(0, burst+a.borrowed)/' "TestLedger|$chaos"
 plant growth-not-confirmed core/quota/ledger.go 's/if a.waiting \&\& confirmed >= a.confirmAt {/if a.waiting {/' "$chaos"
 plant unseen-keys-run core/once/records.go 's/case !issued.After(r.term.FreshAfter):/case false:/' "$chaos"
 plant anyone-takes-back core/once/records.go 's/if req.GetNotRun() \&\& e.owner != req.GetOwner() {/if false {/' "$chaos"
-plant retry-any-call core/node/flight.go 's/if !f.call.Idempotent \&\& r.Run != world.RunNo {/if false {/' "$chaos"
+plant retry-any-call core/node/retry.go 's/if !f.call.Idempotent \&\& r.Run != world.RunNo {/if false {/' "$chaos"
 plant broken-is-not-run core/node/flight.go 's/^\trun := world.RunMaybe$/\trun := world.RunNo/' "$chaos"
 plant key-passes core/node/serve.go 's/^\th.Del(HeaderKey)$/\t_ = h/' "$chaos"
 plant drain-ignored core/node/target.go 's/if n.state() != wire.NodeState_NODE_STATE_READY {/if false {/' TestLeaving
 plant config-falls core/node/config.go 's/if old != nil \&\& old.Version >= version {/if false {/; s/^\tif version <= n.configVersion() {/\tif false {/' "$chaos"
-plant no-handover core/node/lead.go 's/^\tr := n.validRole()\n\tsuccessor/&/; s/if r == nil || successor == nil {/if true {/' TestRollingRestart
+plant no-handover core/node/handover.go 's/^\tr := n.validRole()\n\tsuccessor/&/; s/if r == nil || successor == nil {/if true {/' TestRollingRestart
 plant no-quarantine core/once/suspect.go 's/^\tcrashesToBan = 2$/\tcrashesToBan = 200/' TestCrashingRequest
 plant shed-from-the-top core/admit/queue.go 's/^\tfor c := range q.classes {$/\tfor c := len(q.classes) - 1; c >= 0; c-- {/' 'TestQueue'
 plant budget-copied core/retry/retry.go 's/^\tb.left -= part$/\t_ = part/' 'TestBudget'
 plant share-before-written core/quota/floor.go 's/^\treturn int64(min(wanted, s.size))$/\treturn int64(wanted)/; s/^const floorPart.*/&/' "TestAllLeaders|$chaos"
 plant floor-not-surrendered core/quota/floor.go 's/if s.acknowledged \&\& now < end {/if true {/; s/start := f.heard + surrenderTime + f.lease/start := f.heard/' "TestAllLeaders|$chaos"
-plant missed-counts-twice core/quota/ledger.go 's/^\t\tm.amount -= taken$/\t\t_ = taken/' 'TestLedger|TestChaos|TestSoak'
+plant missed-counts-twice core/quota/inflow.go 's/^\t\tm.amount -= taken$/\t\t_ = taken/' 'TestLedger|TestChaos|TestSoak'
 exit $unseen
