--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -37,7 +37,7 @@
 plant grants-not-counted core/quota/ledger.go 's/^\treturn max(0, burst+a.borrowed-a.outstanding)$/\treturn max(0, burst+a.borrowed)/' "TestLedger|$chaos"
 plant growth-not-confirmed core/quota/ledger.go 's/if a.waiting \&\& confirmed >= a.confirmAt {/if a.waiting {/' "$chaos"
 plant unseen-keys-run core/once/records.go 's/case !issued.After(r.term.FreshAfter):/case false:/' "$chaos"
-plant anyone-takes-back core/once/records.go 's/if req.GetNotRun() \&\& e.owner != req.GetOwner() {/if false {/' "$chaos"
+plant anyone-takes-back core/once/records.go 's/case e.owner == req.GetOwner():/default:/' "$chaos"
 plant retry-any-call core/node/retry.go 's/if !f.call.Idempotent \&\& r.Run != world.RunNo {/if false {/' "$chaos"
 plant broken-is-not-run core/node/flight.go 's/^\trun := world.RunMaybe$/\trun := world.RunNo/' "$chaos"
 plant key-passes core/node/serve.go 's/^\th.Del(HeaderKey)$/\t_ = h/' "$chaos"
