--- a/core/node/chaos_test.go
+++ b/core/node/chaos_test.go
@@ -134,7 +134,7 @@
 func (f *fleet) fault() {
 	v := f.vms[f.random.Intn(len(f.vms))]
 	a, b := f.domains[f.random.Intn(len(f.domains))], f.domains[f.random.Intn(len(f.domains))]
-	kind := f.random.Intn(14)
+	kind := f.random.Intn(15)
 	f.note("fault %d %s %s %s", kind, v.info.Name, a, b)
 	switch kind {
 	case 0:
@@ -173,6 +173,29 @@
 	case 13:
 		v.up.slow = 8
 		f.clock.After(f.span(4*time.Second), func() { v.up.slow = 1 })
+	case 14:
+		f.isolate(f.leaderOf(a), f.span(8*time.Second))
+	}
+}
+
+// isolate cuts a leader from some nodes of its domain, mostly without the platform, so
+// that it loses its term while the others still hold its tokens.
+func (f *fleet) isolate(leader *vm, d time.Duration) {
+	if leader == nil {
+		return
+	}
+	if f.random.Intn(3) > 0 {
+		f.noStore[leader.info.Domain] = true
+		f.clock.After(d/2, func() { delete(f.noStore, leader.info.Domain) })
+	}
+	for _, v := range f.vms {
+		if v.info.Domain != leader.info.Domain || f.random.Intn(3) == 0 {
+			continue
+		}
+		for _, pair := range [][2]*vm{{leader, v}, {v, leader}} {
+			f.vmCuts[pair] = true
+			f.clock.After(d, func() { delete(f.vmCuts, pair) })
+		}
 	}
 }
 
@@ -283,6 +306,7 @@
 // heal ends all faults.
 func (f *fleet) heal() {
 	f.cuts = map[[2]world.DomainID]bool{}
+	f.vmCuts = map[[2]*vm]bool{}
 	f.noStore = map[world.DomainID]bool{}
 	f.storeBad = storeOK
 	f.lossy = 0
--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -33,6 +33,7 @@
 	vms      []*vm
 	domains  []world.DomainID
 	cuts     map[[2]world.DomainID]bool
+	vmCuts   map[[2]*vm]bool
 	noStore  map[world.DomainID]bool
 	storeBad storeFault
 	lossy    float64
@@ -101,6 +102,7 @@
 		random:  rand.New(rand.NewSource(seed)),
 		memory:  store.NewMemory(),
 		cuts:    map[[2]world.DomainID]bool{},
+		vmCuts:  map[[2]*vm]bool{},
 		noStore: map[world.DomainID]bool{},
 		trace:   14695981039346656037,
 	}
@@ -258,7 +260,10 @@
 	life int
 }
 
-func (f *fleet) isCut(a, b world.DomainID) bool { return f.cuts[[2]world.DomainID{a, b}] }
+// isCut tells whether nothing gets from one VM to another.
+func (f *fleet) isCut(a, b *vm) bool {
+	return f.cuts[[2]world.DomainID{a.info.Domain, b.info.Domain}] || f.vmCuts[[2]*vm{a, b}]
+}
 
 func (f *fleet) latency(a, b world.DomainID) time.Duration {
 	base := nearLatency
@@ -298,7 +303,7 @@
 
 func (l *vmLinks) arrive(target *vm, req proto.Message, finish func(proto.Message, error)) {
 	f := l.v.f
-	if f.isCut(l.v.info.Domain, target.info.Domain) || f.random.Float64() < f.lossy || !target.alive {
+	if f.isCut(l.v, target) || f.random.Float64() < f.lossy || !target.alive {
 		return
 	}
 	target.inLife(target.life, func() {
@@ -308,7 +313,7 @@
 			}
 			copied := proto.Clone(reply)
 			f.clock.After(f.latency(target.info.Domain, l.v.info.Domain)+f.jitter(), func() {
-				if !f.isCut(target.info.Domain, l.v.info.Domain) {
+				if !f.isCut(target, l.v) {
 					finish(copied, nil)
 				}
 			})
@@ -335,7 +340,7 @@
 			finish(nil, node.ErrNotSent)
 			return
 		}
-		if f.isCut(l.v.info.Domain, target.info.Domain) {
+		if f.isCut(l.v, target) {
 			f.clock.After(dialTimeout, func() { finish(nil, node.ErrNotSent) })
 			return
 		}
@@ -343,7 +348,7 @@
 		f.watchLife(target, life, func() { finish(nil, node.ErrBroken) })
 		target.inLife(life, func() {
 			cancelTarget = target.n.ServePeer(&copied, func(r *world.Reply) {
-				if f.isCut(target.info.Domain, l.v.info.Domain) || f.random.Float64() < f.lossy/4 {
+				if f.isCut(target, l.v) || f.random.Float64() < f.lossy/4 {
 					// The answer is lost; the connection breaks later.
 					f.clock.After(dialTimeout, func() { finish(nil, node.ErrBroken) })
 					return
