Let the greedy customer come in bursts; keep test ports to one test

Cause: tokens that never expire went unseen when planted: nodes of a customer that always spends hold none. Two tests took ports that others could take in between. Change: bursts of four times the rate in every other two seconds; an IP of its own for each of the two tests.

--- a/core/node/chaos_test.go
+++ b/core/node/chaos_test.go
@@ -99,17 +99,21 @@
 	next()
 }
 
-// offerGreedy sends calls of the greedy customer for a time, at twice its rate. They do
-// not count for how many calls succeed.
+// offerGreedy sends calls of the greedy customer for a time, at four times its rate in
+// every other two seconds: its bursts meet full buckets, and nodes that still hold
+// tokens. They do not count for how many calls succeed.
 func (f *fleet) offerGreedy(d time.Duration) {
+	const phase = 2 * time.Second
 	end := f.clock.Now() + d
 	var next func()
 	next = func() {
 		if f.clock.Now() >= end {
 			return
 		}
-		f.send(f.anyVM(), greedy, http.MethodGet, "/b/y", "", nil)
-		f.clock.After(time.Duration(f.random.ExpFloat64()/(2*customerRate)*float64(time.Second)), next)
+		if f.clock.Now()/phase%2 == 0 {
+			f.send(f.anyVM(), greedy, http.MethodGet, "/b/y", "", nil)
+		}
+		f.clock.After(time.Duration(f.random.ExpFloat64()/(4*customerRate)*float64(time.Second)), next)
 	}
 	next()
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -123,7 +123,7 @@
 
 func TestNotSent(t *testing.T) {
 	c := qt.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.7.8:0")
 	c.Assert(err, qt.IsNil)
 	address := l.Addr().String()
 	c.Assert(l.Close(), qt.IsNil)
--- a/io/proc/proc_test.go
+++ b/io/proc/proc_test.go
@@ -26,9 +26,10 @@
 
 const secret = "a-secret-of-the-fleet"
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that was free a moment ago. No other test uses
+// its IP, so none takes the port meanwhile.
 func freeAddress(c *qt.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.7.7:0")
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
