Expect a leaving upstream's own node to refuse at once

Cause: a node that ignored its upstream's leaving went unseen when planted: the roster alone keeps the 3 s. Change: TestLeaving counts calls that begin after the word.

--- a/core/node/audit_test.go
+++ b/core/node/audit_test.go
@@ -105,6 +105,9 @@
 			a.f.fail("key %s ran %d times", id, a.keyed[id])
 		}
 	}
+	if u.leavingAt > 0 && a.f.clock.Now() > u.leavingAt {
+		u.late++
+	}
 	const leavingLimit = 3 * time.Second
 	if u.leavingAt > 0 && a.f.clock.Now()-u.leavingAt > leavingLimit {
 		a.f.fail("%s got work %v after it said that it leaves", u.v.info.Name, a.f.clock.Now()-u.leavingAt)
--- a/core/node/promises_test.go
+++ b/core/node/promises_test.go
@@ -169,7 +169,8 @@
 	expectClean(t, 3, f)
 }
 
-// TestLeaving: an upstream that says that it leaves gets no new work.
+// TestLeaving: an upstream that says that it leaves gets no new work, and at its own
+// node from that moment on.
 func TestLeaving(t *testing.T) {
 	f := newCalm(4, 3, 4)
 	f.offer(30, 15*time.Second)
@@ -180,6 +181,11 @@
 	}
 	f.run(15 * time.Second)
 	expectClean(t, 4, f)
+	for _, v := range f.vms[:6] {
+		if v.up.late > 0 {
+			t.Errorf("%s began %d calls after it said that it leaves", v.info.Name, v.up.late)
+		}
+	}
 }
 
 // TestCrashingRequest sends a request that crashes each upstream that runs it,
