--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -76,6 +76,8 @@
 	mean      time.Duration
 	slow      float64
 	leavingAt time.Duration
+	// late counts the calls that began after the upstream said that it leaves.
+	late int
 	// failing answers every call with 500, while the upstream looks healthy.
 	failing    bool
 	jobs       map[int]*job
