--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -29,6 +29,7 @@
 	Seconds  float64 `long:"seconds" default:"10" description:"length of a scenario without phases of its own"`
 	Rate     float64 `long:"rate" default:"0.6" description:"load as a share of capacity, for mixed"`
 	Seed     int64   `long:"seed" default:"1"`
+	Rounds   int     `long:"rounds" default:"3000" description:"calls to each side, for latency"`
 	Out      string  `long:"out" description:"file for the measures as JSON"`
 	Records  string  `long:"records" description:"file for what callers of reservations were told"`
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,7 +22,7 @@
 "$bin/standin" load --dir "$dir" --scenario mixed --seconds 8 --seed "$seed" --out "$dir/mixed.json" || exit 1
 
 say "latency that a node adds, by turns straight and through it"
-"$bin/standin" load --dir "$dir" --scenario latency --out "$dir/latency.json" || exit 1
+"$bin/standin" load --dir "$dir" --scenario latency --rounds 400 --out "$dir/latency.json" || exit 1
 
 say "the same load for 10 s; a node is killed after 2 s, the platform after 4 s"
 "$bin/standin" load --dir "$dir" --scenario mixed --seconds 10 --seed "$seed" >"$dir/faults.txt" &
