--- a/core/node/promises_test.go
+++ b/core/node/promises_test.go
@@ -117,6 +117,28 @@
 	}, func(_ *fleet, v *vm) bool { return v.info.Domain != "d0" })
 }
 
+// TestOlderConfigurationIsNotInstalled: the platform comes back with an older object,
+// and a new leader reads it.
+func TestOlderConfigurationIsNotInstalled(t *testing.T) {
+	f := newCalm(1, 1, 4)
+	f.watch(map[*node.Node]world.ConfigVersion{})
+	old, err := f.memory.Get(intent.ObjectKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.change(intent.Intent{Kind: intent.KindKeyWithdraw, Customer: "c1", Key: intent.Key{Label: "main"}}); err != nil {
+		t.Fatal(err)
+	}
+	f.run(3 * time.Second)
+	f.memory.Delete(intent.ObjectKey)
+	if _, err := f.memory.Put(intent.ObjectKey, 0, old.Value); err != nil {
+		t.Fatal(err)
+	}
+	f.leaderOf("d0").kill()
+	f.run(10 * time.Second)
+	expectClean(t, 1, f)
+}
+
 // TestCutOffDomainServes: a failure domain without the others and the platform goes
 // on serving, inside its part of each contract.
 func TestCutOffDomainServes(t *testing.T) {
