Check at the replacement that a configuration's version does not fall

Cause: the invariant compared the version in force after the installation with itself, so a fall that the next heartbeat mended went unseen when planted. Change: the versions replaced and installed are compared where they are exchanged.

--- a/core/node/config.go
+++ b/core/node/config.go
@@ -20,11 +20,14 @@
 	configTimeout = time.Second
 )
 
-func (n *Node) configVersion() world.ConfigVersion {
-	if cfg := n.config.Load(); cfg != nil {
-		return cfg.Version
+func (n *Node) configVersion() world.ConfigVersion { return versionOf(n.config.Load()) }
+
+// versionOf returns a configuration's version, 0 for none.
+func versionOf(cfg *intent.Config) world.ConfigVersion {
+	if cfg == nil {
+		return 0
 	}
-	return 0
+	return cfg.Version
 }
 
 func (n *Node) configAge() time.Duration {
@@ -91,14 +94,14 @@
 	}
 	for {
 		old := n.config.Load()
-		if old != nil && old.Version >= version {
+		if versionOf(old) >= version {
 			return
 		}
 		if n.config.CompareAndSwap(old, cfg) {
+			n.Checks.That(versionOf(old) < version, invar.ConfigMonotonic, "version %d replaced by %d", versionOf(old), version)
 			break
 		}
 	}
-	n.Checks.That(n.configVersion() >= version, invar.ConfigMonotonic, "version %d fell to %d", version, n.configVersion())
 	n.Events.Log(event.ConfigInstalled, event.Field{Name: "version", Value: version})
 	n.configured.Do(n.Configured)
 	if r := n.role.Load(); r != nil {
--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -42,7 +42,7 @@
 plant broken-is-not-run core/node/flight.go 's/^\trun := world.RunMaybe$/\trun := world.RunNo/' "$chaos"
 plant key-passes core/node/serve.go 's/^\th.Del(HeaderKey)$/\t_ = h/' "$chaos"
 plant drain-ignored core/node/target.go 's/if n.state() != wire.NodeState_NODE_STATE_READY {/if false {/' TestLeaving
-plant config-falls core/node/config.go 's/if old != nil \&\& old.Version >= version {/if false {/; s/^\tif version <= n.configVersion() {/\tif false {/' TestOlderConfiguration
+plant config-falls core/node/config.go 's/if versionOf(old) >= version {/if false {/; s/^\tif version <= n.configVersion() {/\tif false {/' TestOlderConfiguration
 plant no-handover core/node/handover.go 's/^\tr := n.validRole()\n\tsuccessor/&/; s/if r == nil || successor == nil {/if true {/' TestRollingRestart
 plant no-quarantine core/once/suspect.go 's/^\tcrashesToBan = 2$/\tcrashesToBan = 200/' TestCrashingRequest
 plant shed-from-the-top core/admit/queue.go 's/^\tfor c := range q.classes {$/\tfor c := len(q.classes) - 1; c >= 0; c-- {/' 'TestQueue'
