--- a/cmd/standin/deploy.go
+++ b/cmd/standin/deploy.go
@@ -23,6 +23,16 @@
 	Capacity float64 `json:"capacity"`
 }
 
+// readDeployment reads what 'standin fleet' wrote into a folder.
+func readDeployment(dir string) (*deployment, error) {
+	text, err := os.ReadFile(filepath.Join(dir, "deployment.json"))
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{}
+	return d, json.Unmarshal(text, d)
+}
+
 type endpoint struct {
 	Name     string `json:"name"`
 	Domain   string `json:"domain"`
--- a/core/node/beat.go
+++ b/core/node/beat.go
@@ -206,15 +206,7 @@
 }
 
 func (n *Node) beatAnswered(domain world.DomainID, from world.Address, stock *quota.Stock, reply *wire.BeatReply, sent time.Duration) {
-	n.leaders.learn(reply.GetLeaders()...)
-	n.noteConfig(reply, from, sent)
-	n.quarantine.Merge(reply.GetQuarantines())
-	if !reply.GetIsLeader() {
-		n.leaders.forget(domain, world.Epoch(reply.GetEpoch()))
-		return
-	}
-	n.applyRoster(reply)
-	if stock == nil {
+	if !n.takeNews(domain, from, reply, sent) || stock == nil {
 		return
 	}
 	stock.Credit(reply, sent)
@@ -228,6 +220,22 @@
 	}
 }
 
+// takeNews takes in what every heartbeat's answer carries, and reports whether the
+// sender leads the failure domain.
+func (n *Node) takeNews(domain world.DomainID, from world.Address, reply *wire.BeatReply, sent time.Duration) bool {
+	n.leaders.learn(reply.GetLeaders()...)
+	n.noteConfig(reply, from, sent)
+	n.quarantine.Merge(reply.GetQuarantines())
+	if !reply.GetIsLeader() {
+		n.leaders.forget(domain, world.Epoch(reply.GetEpoch()))
+		return false
+	}
+	if n.roster.Apply(reply.GetDeltas()) {
+		n.updatePicker()
+	}
+	return true
+}
+
 func (n *Node) ownLeaderAnswered(reply *wire.BeatReply) {
 	b := &n.beats
 	n.term.Heard(world.Epoch(reply.GetEpoch()))
@@ -268,12 +276,6 @@
 	n.gate.SetStocks(stocks...)
 }
 
-func (n *Node) applyRoster(reply *wire.BeatReply) {
-	if n.roster.Apply(reply.GetDeltas()) {
-		n.updatePicker()
-	}
-}
-
 func (n *Node) updatePicker() {
 	nodes := n.roster.Nodes()
 	endpoints := make([]route.Endpoint, 0, len(nodes))
--- a/core/node/leaders.go
+++ b/core/node/leaders.go
@@ -81,14 +81,9 @@
 func leaderBook(domain world.DomainID) string { return "leader:" + string(domain) }
 
 func (n *Node) leaderAnswered(r *role, domain world.DomainID, from world.Address, reply *wire.BeatReply, sent time.Duration) {
-	n.leaders.learn(reply.GetLeaders()...)
-	n.noteConfig(reply, from, sent)
-	n.quarantine.Merge(reply.GetQuarantines())
-	if !reply.GetIsLeader() {
-		n.leaders.forget(domain, world.Epoch(reply.GetEpoch()))
+	if !n.takeNews(domain, from, reply, sent) {
 		return
 	}
-	n.applyRoster(reply)
 	r.ledger.CreditLoan(domain, reply, sent)
 	r.mu.Lock()
 	r.contacted[domain] = n.Clock.Now()
