Drop an average that nobody reads and a parameter without use

Cause: the last reading found Queue.Typical, kept up to date under the queue's lock at the end of each call and read by nobody, and an argument of Term.saw that it does not use. Change: both are gone. Behaviour is as it was; lint and the tests of admit, term and node pass.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -74,8 +74,6 @@
 	internal int
 	queued   int
 	classes  [world.ImportanceCount]class
-	// typical is a moving average of a call's time in the upstream.
-	typical time.Duration
 }
 
 // class holds the queued tickets of one importance.
@@ -317,9 +315,6 @@
 	if t.Importance == world.ImportanceInternal {
 		q.internal--
 	}
-	if !s.Ignore && !s.Shed {
-		q.typical += (s.Own - q.typical) / 8
-	}
 	q.mu.Unlock()
 	q.limiter.Observe(s, t.started, inFlight)
 	limit := q.limiter.Limit()
@@ -365,10 +360,3 @@
 		t.Start()
 	}
 }
-
-// Typical returns a moving average of a call's own time in the upstream.
-func (q *Queue) Typical() time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.typical
-}
--- a/core/term/cycle.go
+++ b/core/term/cycle.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			return
 		}
-		t.saw(o, sent)
+		t.saw(o)
 	})
 }
 
@@ -106,7 +106,7 @@
 	}
 }
 
-func (t *Term) saw(o store.Object, sent time.Duration) {
+func (t *Term) saw(o store.Object) {
 	r, err := ParseRecord(o.Value)
 	if err != nil {
 		return
