--- /dev/null
+++ b/core/admit/line.go
@@ -0,0 +1,217 @@
+package admit
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
+)
+
+// Waiter is one call at the door of an upstream that tells its slots. Exactly one of
+// Start and Drop is called, once, without locks held, unless the waiter is cancelled.
+type Waiter struct {
+	Route world.RouteID
+	// Class orders waiters: the lowest starts first.
+	Class    int
+	Deadline time.Duration
+	Start    func()
+	Drop     func(world.Code)
+
+	state   ticketState
+	entered time.Duration
+	started time.Duration
+	stop    timer.Stop
+}
+
+// LineOptions tunes a Line. The zero value takes the defaults.
+type LineOptions struct {
+	// MaxWait is the longest time in line.
+	MaxWait time.Duration
+}
+
+const (
+	// defaultMaxWait is the longest time in line: callers that are refused sooner can
+	// still be served elsewhere.
+	defaultMaxWait = 400 * time.Millisecond
+	// tookWeight is the weight of a new sample in the usual time of a route.
+	tookWeight = 0.05
+	// tookDefault is the time that a call is taken to need before any has ended.
+	tookDefault = 50 * time.Millisecond
+)
+
+// Line lets as many calls into an upstream as it has slots and keeps the others in
+// order. It answers a load above what the slots carry: what cannot be served before its
+// deadline leaves at once, so that its caller can go elsewhere and the slots go to calls
+// that still count.
+type Line struct {
+	clock   timer.Service
+	options LineOptions
+
+	mu      sync.Mutex
+	limit   int
+	running int
+	waiting []*Waiter
+	// took is the usual time in the upstream, by route, in seconds.
+	took map[world.RouteID]float64
+	// mean is the same over all routes.
+	mean float64
+}
+
+// NewLine returns a line of an upstream with the given slots.
+func NewLine(clock timer.Service, limit int, options LineOptions) *Line {
+	if options.MaxWait == 0 {
+		options.MaxWait = defaultMaxWait
+	}
+	return &Line{clock: clock, options: options, limit: max(limit, 1), took: map[world.RouteID]float64{}, mean: tookDefault.Seconds()}
+}
+
+// SetLimit changes the number of slots.
+func (l *Line) SetLimit(limit int) {
+	l.mu.Lock()
+	l.limit = max(limit, 1)
+	next := l.collectLocked()
+	l.mu.Unlock()
+	startAll(next)
+}
+
+// Counts returns the calls in the upstream, those in line and the limit.
+func (l *Line) Counts() (running, waiting, limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running, len(l.waiting), l.limit
+}
+
+// Enter starts a call, puts it in line or drops it.
+func (l *Line) Enter(w *Waiter) {
+	l.mu.Lock()
+	now := l.clock.Now()
+	w.entered = now
+	if l.running < l.limit && len(l.waiting) == 0 {
+		l.beginLocked(w)
+		l.mu.Unlock()
+		w.Start()
+		return
+	}
+	patience := min(l.options.MaxWait, w.Deadline-now-l.tookLocked(w.Route))
+	if l.waitLocked(w) > patience {
+		w.state = ticketGone
+		l.mu.Unlock()
+		w.Drop(world.CodeQueueFull)
+		return
+	}
+	w.state = ticketQueued
+	w.stop = l.clock.After(patience, func() { l.expire(w) })
+	at := sort.Search(len(l.waiting), func(i int) bool { return l.waiting[i].Class > w.Class })
+	l.waiting = append(l.waiting, nil)
+	copy(l.waiting[at+1:], l.waiting[at:])
+	l.waiting[at] = w
+	l.mu.Unlock()
+}
+
+// waitLocked estimates how long a new call would wait.
+func (l *Line) waitLocked(w *Waiter) time.Duration {
+	ahead := sort.Search(len(l.waiting), func(i int) bool { return l.waiting[i].Class > w.Class })
+	seconds := float64(ahead+1) * l.mean / float64(l.limit)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (l *Line) tookLocked(route world.RouteID) time.Duration {
+	seconds, ok := l.took[route]
+	if !ok {
+		seconds = l.mean
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (l *Line) beginLocked(w *Waiter) {
+	w.state = ticketRunning
+	w.started = l.clock.Now()
+	l.running++
+}
+
+func (l *Line) collectLocked() []*Waiter {
+	var next []*Waiter
+	for l.running < l.limit && len(l.waiting) > 0 {
+		w := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		w.stop()
+		l.beginLocked(w)
+		next = append(next, w)
+	}
+	return next
+}
+
+func startAll(waiters []*Waiter) {
+	for _, w := range waiters {
+		w.Start()
+	}
+}
+
+func (l *Line) removeLocked(w *Waiter) bool {
+	if w.state != ticketQueued {
+		return false
+	}
+	for i, other := range l.waiting {
+		if other == w {
+			l.waiting = append(l.waiting[:i:i], l.waiting[i+1:]...)
+			break
+		}
+	}
+	w.state = ticketGone
+	w.stop()
+	return true
+}
+
+func (l *Line) expire(w *Waiter) {
+	l.mu.Lock()
+	removed := l.removeLocked(w)
+	l.mu.Unlock()
+	if removed {
+		w.Drop(world.CodeQueueTimeout)
+	}
+}
+
+// Cancel takes a call out of the line whose caller has gone. It reports whether the call
+// was still in line.
+func (l *Line) Cancel(w *Waiter) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.removeLocked(w)
+}
+
+// Leave ends a started call. isSample means that it ended by itself, so that its time
+// tells how long such a call takes.
+func (l *Line) Leave(w *Waiter, isSample bool) {
+	l.mu.Lock()
+	l.running--
+	w.state = ticketGone
+	if isSample {
+		seconds := (l.clock.Now() - w.started).Seconds()
+		old, ok := l.took[w.Route]
+		if !ok {
+			old = seconds
+		}
+		l.took[w.Route] = old + tookWeight*(seconds-old)
+		l.mean += tookWeight * (seconds - l.mean)
+	}
+	next := l.collectLocked()
+	l.mu.Unlock()
+	startAll(next)
+}
+
+// DropAll drops all calls in line, as when the upstream leaves.
+func (l *Line) DropAll(code world.Code) {
+	l.mu.Lock()
+	dropped := l.waiting
+	l.waiting = nil
+	for _, w := range dropped {
+		w.state = ticketGone
+		w.stop()
+	}
+	l.mu.Unlock()
+	for _, w := range dropped {
+		w.Drop(code)
+	}
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -15,10 +15,13 @@
 	NodeStopping      Number = 101
 	NodeStopped       Number = 102
 	NodeStopCut       Number = 103
+	SettingsReloaded  Number = 104
+	SettingsRejected  Number = 105
 	UpstreamReady     Number = 110
 	UpstreamDraining  Number = 111
 	UpstreamDown      Number = 112
 	UpstreamSuspected Number = 113
+	HeartbeatRejected Number = 114
 	ConfigInstalled   Number = 200
 	ConfigRejected    Number = 201
 	TermWon           Number = 300
@@ -27,6 +30,11 @@
 	TermHandoverLost  Number = 303
 	LeaderUnreachable Number = 310
 	AnnounceFailed    Number = 401
+	PlatformLost      Number = 402
+	PlatformBack      Number = 403
+	EntryRejected     Number = 404
+	EntryDropped      Number = 405
+	PeerSilent        Number = 410
 	InvariantBroken   Number = 900
 )
 
@@ -36,10 +44,13 @@
 	NodeStopping:      "graceful shutdown began",
 	NodeStopped:       "node stopped; no call was cut",
 	NodeStopCut:       "stop limit reached; calls in flight were cut",
+	SettingsReloaded:  "the settings file changed and was applied",
+	SettingsRejected:  "the settings file changed and has faults; the old settings stay",
 	UpstreamReady:     "upstream is ready",
 	UpstreamDraining:  "upstream drains; new calls go elsewhere",
 	UpstreamDown:      "upstream does not accept connections",
 	UpstreamSuspected: "upstream died with calls in flight; their fingerprints are suspects",
+	HeartbeatRejected: "a heartbeat is malformed or of another upstream",
 	ConfigInstalled:   "configuration installed",
 	ConfigRejected:    "configuration object is malformed and was not installed",
 	TermWon:           "this node leads its failure domain",
@@ -48,6 +59,11 @@
 	TermHandoverLost:  "the handover was not confirmed; the next leader starts without records",
 	LeaderUnreachable: "the leader does not answer heartbeats",
 	AnnounceFailed:    "the announcement could not be written; it is tried again",
+	PlatformLost:      "the platform's store does not answer",
+	PlatformBack:      "the platform's store answers again",
+	EntryRejected:     "the entry of a node is malformed and names no node",
+	EntryDropped:      "the entry of a node that is gone was deleted",
+	PeerSilent:        "a node did not answer an exchange",
 	InvariantBroken:   "an invariant is broken",
 }
 
--- /dev/null
+++ b/core/mesh/announce.go
@@ -0,0 +1,220 @@
+package mesh
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Entry is what the platform holds of a node: where to find it. What changes often goes
+// from node to node.
+type Entry struct {
+	Node        string `json:"node"`
+	Domain      string `json:"domain"`
+	Service     string `json:"service"`
+	Peer        string `json:"peer"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+func entryOf(r *wire.FleetRecord) Entry {
+	return Entry{
+		Node:        r.GetNode(),
+		Domain:      r.GetDomain(),
+		Service:     r.GetService(),
+		Peer:        r.GetPeerAddress(),
+		Incarnation: r.GetIncarnation(),
+	}
+}
+
+func (e Entry) record() *wire.FleetRecord {
+	return &wire.FleetRecord{
+		Node:        e.Node,
+		Domain:      e.Domain,
+		Service:     e.Service,
+		PeerAddress: e.Peer,
+		Incarnation: e.Incarnation,
+	}
+}
+
+// ErrEntry means that an entry cannot be used.
+var ErrEntry = errors.New("entry of a node is malformed")
+
+// DecodeEntry reads an entry.
+func DecodeEntry(name string, value []byte) (Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(value, &e); err != nil {
+		return e, errors.Wrapf(ErrEntry, "entry %q: %v", name, err)
+	}
+	switch {
+	case e.Node != name:
+		return e, errors.Wrapf(ErrEntry, "entry %q names node %q", name, e.Node)
+	case e.Domain == "" || e.Service == "" || e.Peer == "":
+		return e, errors.Wrapf(ErrEntry, "entry %q lacks domain, service or peer", name)
+	case e.Incarnation == 0:
+		return e, errors.Wrapf(ErrEntry, "entry %q has no incarnation", name)
+	}
+	return e, nil
+}
+
+// announcer keeps the node's own entry in the platform's store.
+type announcer struct {
+	n *Node
+
+	mu sync.Mutex
+	// revision is of the own entry as the store was last seen to hold it, 0 if it holds none.
+	revision uint64
+	held     Entry
+	// revisions are of the entries of all nodes.
+	revisions map[world.NodeID]uint64
+	writing   bool
+}
+
+// announceRetry is the time between tries to write the entry.
+const announceRetry = 300 * time.Millisecond
+
+func (a *announcer) listed(objects []Object) {
+	a.mu.Lock()
+	a.revision, a.held = 0, Entry{}
+	a.revisions = map[world.NodeID]uint64{}
+	a.mu.Unlock()
+	var records []*wire.FleetRecord
+	for _, o := range objects {
+		if e, ok := a.read(o); ok {
+			records = append(records, e.record())
+		}
+	}
+	a.n.view.List(records)
+	a.n.useRecords()
+	a.write()
+}
+
+func (a *announcer) changed(o Object) {
+	name := world.NodeID(o.Name)
+	if o.IsDeleted {
+		a.mu.Lock()
+		delete(a.revisions, name)
+		if name == a.n.Info.Name && o.Revision >= a.revision {
+			a.revision, a.held = 0, Entry{}
+		}
+		a.mu.Unlock()
+		a.n.view.Listed(name, nil)
+		a.write()
+		return
+	}
+	if e, ok := a.read(o); ok {
+		a.n.view.Listed(name, e.record())
+		a.n.useRecords()
+	}
+	a.write()
+}
+
+// read takes in an entry. One that is malformed names no node.
+func (a *announcer) read(o Object) (Entry, bool) {
+	e, err := DecodeEntry(o.Name, o.Value)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.revisions == nil {
+		a.revisions = map[world.NodeID]uint64{}
+	}
+	a.revisions[world.NodeID(o.Name)] = o.Revision
+	if world.NodeID(o.Name) == a.n.Info.Name && o.Revision >= a.revision {
+		a.revision, a.held = o.Revision, e
+	}
+	if err != nil {
+		a.n.Events.Log(event.EntryRejected, event.Field{Name: "error", Value: err.Error()})
+		return e, false
+	}
+	return e, true
+}
+
+// write brings the own entry up to date.
+func (a *announcer) write() {
+	want := entryOf(a.n.view.Self())
+	a.mu.Lock()
+	if a.writing || a.held == want || a.n.IsStopping() {
+		a.mu.Unlock()
+		return
+	}
+	a.writing = true
+	revision := a.revision
+	a.mu.Unlock()
+	value, err := json.Marshal(want)
+	if err != nil {
+		a.n.Events.Log(event.AnnounceFailed, event.Field{Name: "error", Value: err.Error()})
+		return
+	}
+	a.n.Objects.Put(KindNode, want.Node, revision, value, func(o Object, err error) {
+		a.wrote(want, o, err)
+	})
+}
+
+func (a *announcer) wrote(want Entry, o Object, err error) {
+	a.mu.Lock()
+	a.writing = false
+	switch {
+	case err == nil && o.Revision >= a.revision:
+		a.revision, a.held = o.Revision, want
+	case errors.Is(err, store.ErrConflict) && o.Revision > 0:
+		a.revision = o.Revision
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
+		// The entry was deleted or created meanwhile: try the other way round.
+		a.revision = o.Revision
+	}
+	a.mu.Unlock()
+	if err == nil {
+		return
+	}
+	a.n.Events.Log(event.AnnounceFailed, event.Field{Name: "error", Value: err.Error()})
+	a.n.Clock.After(announceRetry, a.write)
+}
+
+// remove deletes the own entry when the node stops.
+func (a *announcer) remove() {
+	a.mu.Lock()
+	revision := a.revision
+	a.mu.Unlock()
+	if revision > 0 {
+		a.n.Objects.Delete(KindNode, string(a.n.Info.Name), revision, func(error) {})
+	}
+}
+
+// sweep deletes the entries of nodes that are gone. One relay does it, and only while it
+// hears of others: a node that is cut off must not take the rest for gone.
+func (n *Node) sweep() {
+	abandoned := n.view.Sweep()
+	if len(abandoned) == 0 || !n.view.IsRelay() || n.entry == nil {
+		return
+	}
+	heard := 0
+	for _, node := range n.view.Nodes() {
+		if !node.IsSilent {
+			heard++
+		}
+	}
+	if heard <= len(abandoned) {
+		return
+	}
+	n.entry.drop(abandoned)
+}
+
+func (a *announcer) drop(records []*wire.FleetRecord) {
+	for _, r := range records {
+		name := world.NodeID(r.GetNode())
+		a.mu.Lock()
+		revision := a.revisions[name]
+		delete(a.revisions, name)
+		a.mu.Unlock()
+		if revision == 0 {
+			continue
+		}
+		a.n.Events.Log(event.EntryDropped, event.Field{Name: "peer", Value: name}, event.Field{Name: "revision", Value: revision})
+		a.n.Objects.Delete(KindNode, string(name), revision, func(error) {})
+	}
+}
--- /dev/null
+++ b/core/mesh/flight.go
@@ -0,0 +1,307 @@
+package mesh
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wagtailyoke/core/place"
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
+)
+
+// flight carries one request over its attempts.
+type flight struct {
+	n     *Node
+	call  world.Call
+	route *table.Route
+	done  func(*world.Reply)
+
+	mu   sync.Mutex
+	over bool
+	// tried are the nodes that were asked, reached counts those whose upstream may
+	// have seen the request.
+	tried   []world.NodeID
+	reached int
+	// mayRun means that an attempt has run or may still run.
+	mayRun   bool
+	pending  bool
+	attempt  int
+	cancelUp func()
+	deadline timer.Stop
+}
+
+const (
+	// mostRefusals is how many nodes may refuse a request before it is given up.
+	// Further ones would be asked in vain: a service is seldom full in part.
+	mostRefusals = 3
+	// leastLeft is the time that must be left for another attempt.
+	leastLeft = 20 * time.Millisecond
+	// answerMargin is kept back from the time that is handed on, so that the answer of
+	// the last node arrives before the caller's deadline.
+	answerMargin = 5 * time.Millisecond
+)
+
+func (n *Node) newFlight(in Incoming, route *table.Route, customer *table.Customer, done func(*world.Reply)) *flight {
+	now := n.Clock.Now()
+	wait := route.Timeout
+	if in.Wait > 0 {
+		wait = min(wait, in.Wait)
+	}
+	f := &flight{n: n, route: route, done: done, call: in.Call}
+	c := &f.call
+	c.Route = route.ID
+	c.Idempotent = route.Idempotent
+	c.Rank = route.Rank
+	c.Deadline = now + wait
+	c.Caller = n.callerService()
+	if route.Target > 0 {
+		c.Target = now + route.Target
+	}
+	if customer != nil {
+		c.Customer = customer.ID
+		if customer.HasRank {
+			c.Rank = customer.Rank
+		}
+	}
+	n.splitMu.Lock()
+	c.Service = n.splitter.Next(route, n.draw)
+	n.splitMu.Unlock()
+	n.mu.Lock()
+	n.flights++
+	n.mu.Unlock()
+	return f
+}
+
+func (f *flight) begin() {
+	stop := f.n.Clock.After(f.call.Deadline-f.n.Clock.Now(), f.expire)
+	f.mu.Lock()
+	f.deadline = stop
+	f.mu.Unlock()
+	f.n.budgets.Sent(f.call.Service)
+	f.next()
+}
+
+// next sends the request to another endpoint.
+func (f *flight) next() {
+	n := f.n
+	f.mu.Lock()
+	if f.over {
+		f.mu.Unlock()
+		return
+	}
+	tried := append([]world.NodeID(nil), f.tried...)
+	f.mu.Unlock()
+	target, ok := n.picker.Pick(f.call.Service, tried)
+	if !ok {
+		f.finish(f.refusal(world.CodeNoEndpoint))
+		return
+	}
+	f.mu.Lock()
+	f.tried = append(f.tried, target.Node)
+	f.attempt++
+	f.pending = true
+	attempt := f.attempt
+	f.mu.Unlock()
+	c := f.call
+	c.Deadline -= answerMargin
+	sent := n.Clock.Now()
+	ended := func(r *world.Reply, err error) { f.answered(target, sent, r, err) }
+	var cancel func()
+	if target.Node == n.Info.Name {
+		cancel = n.admit(&c, func(r *world.Reply) { ended(r, nil) })
+	} else {
+		cancel = n.Links.Forward(target.Peer, &c, ended)
+	}
+	f.setCancel(attempt, cancel)
+}
+
+// setCancel keeps the way to give up an attempt, unless it has ended already.
+func (f *flight) setCancel(attempt int, cancel func()) {
+	f.mu.Lock()
+	isCurrent := f.attempt == attempt && f.pending
+	isOver := f.over
+	if isCurrent && !isOver {
+		f.cancelUp = cancel
+	}
+	f.mu.Unlock()
+	if isCurrent && isOver {
+		cancel()
+	}
+}
+
+// answered takes in the end of an attempt.
+func (f *flight) answered(target place.Endpoint, sent time.Duration, r *world.Reply, err error) {
+	if err != nil {
+		r = brokenAttempt(err)
+	}
+	f.mu.Lock()
+	isOver := f.over
+	if !isOver {
+		f.cancelUp = nil
+		f.pending = false
+		if r.Run != world.RunNo {
+			f.mayRun = true
+			f.reached++
+		}
+	}
+	f.mu.Unlock()
+	f.n.picker.Done(target.Node, f.outcome(sent, r, isOver))
+	if isOver {
+		closeRest(r)
+		return
+	}
+	if f.mayRetry(r) {
+		f.n.Metrics.Retried(reasonOf(r))
+		closeRest(r)
+		f.next()
+		return
+	}
+	f.finish(f.final(r))
+}
+
+func closeRest(r *world.Reply) {
+	if r.Rest != nil {
+		_ = r.Rest.Close()
+	}
+}
+
+func brokenAttempt(err error) *world.Reply {
+	run := world.RunMaybe
+	if errors.Is(err, world.ErrNotSent) {
+		run = world.RunNo
+	}
+	return world.Refuse(http.StatusBadGateway, world.CodeUnreachable, run, 0)
+}
+
+// outcome is what an attempt tells about its endpoint.
+func (f *flight) outcome(sent time.Duration, r *world.Reply, isOver bool) place.Outcome {
+	o := place.Outcome{Route: f.call.Route, Load: r.Load, Limit: r.Limit, IsLeaving: r.Draining}
+	switch {
+	case isOver:
+		// A call that was given up here says nothing about its endpoint.
+		o.IsRefused = true
+	case r.Code == world.CodeQueueFull || r.Code == world.CodeQueueTimeout:
+		o.IsRefused = true
+	case r.Code != world.CodeNone || r.Status >= http.StatusInternalServerError:
+		o.Failed = true
+	default:
+		o.Took = f.n.Clock.Now() - sent
+	}
+	return o
+}
+
+// mayRetry decides whether the request is sent to another endpoint.
+func (f *flight) mayRetry(r *world.Reply) bool {
+	if r.IsSuccess() || f.call.Rest != nil || r.Final {
+		return false
+	}
+	if r.Code == world.CodeNone && r.Status < http.StatusInternalServerError {
+		return false
+	}
+	f.mu.Lock()
+	tries, reached, mayRun := len(f.tried), f.reached, f.mayRun
+	f.mu.Unlock()
+	if f.call.Deadline-f.n.Clock.Now() < leastLeft {
+		return false
+	}
+	if r.Run == world.RunNo && r.Code != world.CodeUpstreamShed {
+		// No upstream saw the request, so another one costs no repeat.
+		return tries < mostRefusals
+	}
+	if mayRun && !f.call.Idempotent {
+		return false
+	}
+	if r.Code == world.CodeUpstreamShed {
+		reached++
+	}
+	return reached < f.route.MaxAttempts && f.n.budgets.Spend(f.call.Service)
+}
+
+func reasonOf(r *world.Reply) world.Code {
+	if r.Code != world.CodeNone {
+		return r.Code
+	}
+	return world.CodeUpstreamFailed
+}
+
+// final is the answer to the caller after the last attempt.
+func (f *flight) final(r *world.Reply) *world.Reply {
+	if !r.IsRefusal() {
+		return r
+	}
+	f.mu.Lock()
+	mayRun := f.mayRun
+	f.mu.Unlock()
+	if r.Run == world.RunNo && !mayRun {
+		return f.refusal(r.Code)
+	}
+	status := http.StatusBadGateway
+	if r.Status == http.StatusGatewayTimeout {
+		status = r.Status
+	}
+	return world.Refuse(status, r.Code, world.RunMaybe, 0)
+}
+
+// refusal is the answer to a request that no upstream has run or will run.
+func (f *flight) refusal(code world.Code) *world.Reply {
+	f.mu.Lock()
+	mayRun := f.mayRun
+	f.mu.Unlock()
+	if mayRun {
+		return world.Refuse(http.StatusBadGateway, code, world.RunMaybe, 0)
+	}
+	return world.Refuse(http.StatusServiceUnavailable, code, world.RunNo, f.n.comeBack())
+}
+
+// expire answers a request whose time is over.
+func (f *flight) expire() {
+	f.mu.Lock()
+	run := world.RunNo
+	if f.mayRun || f.pending {
+		run = world.RunMaybe
+	}
+	f.mu.Unlock()
+	f.finish(world.Refuse(http.StatusGatewayTimeout, world.CodeDeadline, run, 0))
+}
+
+// cancel gives the request up because its caller has gone.
+func (f *flight) cancel() {
+	f.finish(world.Refuse(http.StatusServiceUnavailable, world.CodeCancelled, world.RunMaybe, 0))
+}
+
+// finish answers the request, once.
+func (f *flight) finish(r *world.Reply) {
+	f.mu.Lock()
+	if f.over {
+		f.mu.Unlock()
+		closeRest(r)
+		return
+	}
+	f.over = true
+	cancel, stop := f.cancelUp, f.deadline
+	f.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+	if cancel != nil {
+		cancel()
+	}
+	if r.IsRefusal() {
+		f.n.Metrics.Refused(r.Code)
+	} else {
+		f.n.Metrics.Served(f.call.Route)
+	}
+	f.done(r)
+	f.n.flightEnded()
+}
+
+func (n *Node) flightEnded() {
+	n.mu.Lock()
+	n.flights--
+	n.mu.Unlock()
+	n.noteIdle()
+}
--- /dev/null
+++ b/core/mesh/mesh.go
@@ -0,0 +1,222 @@
+// Package mesh puts together a node of a deployment in which callers sit beside the
+// upstreams: each call begins on the VM of a service, passes that VM's node, and the node
+// beside the chosen upstream. There is no leader; what is agreed lies in the platform's
+// objects, and nodes tell each other the rest.
+//
+// # Usage
+//
+//	n := mesh.New(mesh.Dependencies{Info: info, Clock: clock, Links: links, ...})
+//	n.Start()
+//	cancel := n.Serve(mesh.Incoming{...}, func(r *world.Reply) { ... })
+//	n.Stop(func() { ... })
+//
+// A call comes in at Serve (serve.go). A flight carries it over its attempts (flight.go)
+// to the node of the chosen endpoint, where a run waits for the upstream (run.go). The
+// upstream's heartbeats are in upstream.go, the exchange with other nodes in spread.go,
+// the platform's objects in follow.go and announce.go.
+//
+// The package holds no socket and no clock: a process gives it real ones, a test virtual
+// ones.
+package mesh
+
+import (
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wagtailyoke/core/admit"
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/fleet"
+	"wagtailyoke/core/invar"
+	"wagtailyoke/core/place"
+	"wagtailyoke/core/retry"
+	"wagtailyoke/core/share"
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// Links carries calls and messages to other nodes. Each done is called at most once.
+type Links interface {
+	// Forward sends a call to the node at an address. cancel gives it up.
+	Forward(to world.Address, c *world.Call, done func(*world.Reply, error)) (cancel func())
+	// Exchange trades records with a node.
+	Exchange(to world.Address, req *wire.ExchangeRequest, timeout time.Duration, done func(*wire.ExchangeReply, error))
+	// Table asks a node for its routing table.
+	Table(to world.Address, timeout time.Duration, done func(*wire.TableReply, error))
+}
+
+// Upstream is the service process on this VM.
+type Upstream interface {
+	// Do runs a call, if the upstream is still the given instance.
+	Do(c *world.Call, instance world.InstanceID, done func(*world.Reply, error)) (cancel func())
+}
+
+// Metrics counts calls, and refusals and retries by reason.
+type Metrics interface {
+	Admitted(customer world.CustomerID)
+	Served(route world.RouteID)
+	Refused(code world.Code)
+	Retried(reason world.Code)
+}
+
+// Decode reads a routing table as the platform holds it.
+type Decode func(document []byte) (*table.Table, error)
+
+// Info describes this node.
+type Info struct {
+	Name    world.NodeID
+	Domain  world.DomainID
+	Service world.ServiceID
+	Peer    world.Address
+	// Upstream is the address of the service process.
+	Upstream world.Address
+	// Started is the wall clock at the start of the process.
+	Started time.Time
+}
+
+// Options are the settings of the decisions.
+type Options struct {
+	// Exchange is the time between exchanges with other nodes.
+	Exchange time.Duration
+	// RetryRatio and RetrySlack bound retries over all nodes: in RetryWindow, the ratio
+	// of the calls to a service, and the slack besides.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// Quota is how far customers may exceed their rates.
+	Quota share.Tolerance
+	// Grace is the longest time between a stop and the end of the process.
+	Grace time.Duration
+}
+
+// Defaults of the options.
+const (
+	defaultExchange = 250 * time.Millisecond
+	defaultGrace    = 6 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Exchange == 0 {
+		o.Exchange = defaultExchange
+	}
+	if o.Grace == 0 {
+		o.Grace = defaultGrace
+	}
+	return o
+}
+
+// Dependencies are what a node is built from.
+type Dependencies struct {
+	Info     Info
+	Options  Options
+	Clock    timer.Service
+	Random   *rand.Rand
+	Links    Links
+	Upstream Upstream
+	Objects  Objects
+	Decode   Decode
+	Metrics  Metrics
+	Events   event.Log
+	Checks   *invar.Checker
+}
+
+// Node is one node.
+type Node struct {
+	Dependencies
+
+	table    atomic.Pointer[installed]
+	view     *fleet.View
+	gate     *share.Gate
+	picker   *place.Picker
+	line     *admit.Line
+	budgets  *retry.Allowances
+	upstream upstreams
+	news     spread
+	entry    *announcer
+
+	randomMu sync.Mutex
+
+	splitMu  sync.Mutex
+	splitter *table.Splitter
+
+	mu       sync.Mutex
+	flights  int
+	runs     int
+	stopping bool
+	stopped  func()
+	isEnded  bool
+	stops    []timer.Stop
+}
+
+// installed is a routing table with the document that it was read from, for other nodes.
+type installed struct {
+	*table.Table
+	document []byte
+}
+
+// forgetAfter is the age from which the record of a node that the platform does not list
+// is dropped.
+const forgetAfter = 8 * time.Second
+
+// New builds a node. It does nothing until Start.
+func New(d Dependencies) *Node {
+	d.Options = d.Options.withDefaults()
+	n := &Node{
+		Dependencies: d,
+		gate:         share.New(d.Clock, d.Options.Quota),
+		picker:       place.New(d.Clock, rand.New(rand.NewSource(d.Random.Int63())), d.Info.Domain, d.Info.Name),
+		line:         admit.NewLine(d.Clock, 1, admit.LineOptions{}),
+		budgets:      retry.NewAllowances(d.Clock, d.Options.RetryRatio, d.Options.RetrySlack, d.Options.RetryWindow),
+		splitter:     table.NewSplitter(),
+	}
+	self := &wire.FleetRecord{
+		Node:        string(d.Info.Name),
+		Domain:      string(d.Info.Domain),
+		Service:     string(d.Info.Service),
+		PeerAddress: string(d.Info.Peer),
+		Incarnation: uint64(max(d.Info.Started.UnixMilli(), 1)),
+	}
+	n.view = fleet.New(d.Clock, self, fleet.Options{Period: d.Options.Exchange, Forget: forgetAfter})
+	return n
+}
+
+// Start begins to follow the platform's objects and to exchange records.
+func (n *Node) Start() {
+	n.Events.Log(event.NodeStarted,
+		event.Field{Name: "domain", Value: n.Info.Domain}, event.Field{Name: "service", Value: n.Info.Service})
+	n.followTables()
+	n.followNodes()
+	n.stops = append(n.stops, timer.Every(n.Clock, n.Options.Exchange, n.tick))
+}
+
+// IsReady reports whether callers may send requests here.
+func (n *Node) IsReady() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.stopping && n.table.Load() != nil
+}
+
+// IsStopping reports whether the node has begun to stop.
+func (n *Node) IsStopping() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopping
+}
+
+// Limits returns what callers may send, false as long as no table is in force.
+func (n *Node) Limits() (table.Limits, bool) {
+	t := n.table.Load()
+	if t == nil {
+		return table.Limits{}, false
+	}
+	return t.Limits, true
+}
+
+func (n *Node) draw() float64 {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
+	return n.Random.Float64()
+}
--- /dev/null
+++ b/core/mesh/serve.go
@@ -0,0 +1,86 @@
+package mesh
+
+import (
+	"net/http"
+	"time"
+
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/world"
+)
+
+// Incoming is a request as it came in on this VM.
+type Incoming struct {
+	// Call holds id, method, path, host, header and body.
+	Call world.Call
+	// PathOnly is the path without the query.
+	PathOnly string
+	// Key is the caller's key; HasKey tells an empty one from none.
+	Key    string
+	HasKey bool
+	// Wait is how long the caller waits, 0 if it did not say.
+	Wait time.Duration
+}
+
+// Waits that refusals suggest.
+const (
+	// notReadyWait is about the time that a node needs to find its table.
+	notReadyWait = 500 * time.Millisecond
+	// busyWait is how long an overload of a service lasts at least.
+	busyWait = 500 * time.Millisecond
+	// spreadWait is the span over which refused callers are spread, so that they do
+	// not return together.
+	spreadWait = 700 * time.Millisecond
+)
+
+// Serve takes a request of a caller or of this VM's upstream. done is called once, unless
+// the request is cancelled.
+func (n *Node) Serve(in Incoming, done func(*world.Reply)) (cancel func()) {
+	t := n.table.Load()
+	if t == nil {
+		return n.refuse(done, http.StatusServiceUnavailable, world.CodeNotReady, notReadyWait)
+	}
+	route := t.Match(in.Call.Host, in.PathOnly)
+	if route == nil {
+		return n.refuse(done, http.StatusNotFound, world.CodeUnknownRoute, 0)
+	}
+	customer, ok := customerOf(t.Table, route, in)
+	if !ok {
+		return n.refuse(done, http.StatusUnauthorized, world.CodeUnknownKey, 0)
+	}
+	if customer != nil {
+		admitted, wait := n.gate.Take(customer.ID)
+		if !admitted {
+			return n.refuse(done, http.StatusTooManyRequests, world.CodeOverRate, wait)
+		}
+		n.Metrics.Admitted(customer.ID)
+	}
+	f := n.newFlight(in, route, customer, done)
+	f.begin()
+	return f.cancel
+}
+
+// customerOf finds the customer of a request. It returns false if the request needs a
+// known key and has none.
+func customerOf(t *table.Table, route *table.Route, in Incoming) (*table.Customer, bool) {
+	if !t.HasCustomers() {
+		return nil, true
+	}
+	if in.HasKey {
+		if c := t.CustomerOf(in.Key); c != nil {
+			return c, true
+		}
+	}
+	return nil, route.IsPublic
+}
+
+func (n *Node) refuse(done func(*world.Reply), status int, code world.Code, wait time.Duration) (cancel func()) {
+	n.Metrics.Refused(code)
+	done(world.Refuse(status, code, world.RunNo, wait))
+	return func() {}
+}
+
+// comeBack is when a refused caller may find room, spread so that callers that were
+// refused together do not return together.
+func (n *Node) comeBack() time.Duration {
+	return busyWait + time.Duration(n.draw()*float64(spreadWait))
+}
--- /dev/null
+++ b/core/mesh/spread.go
@@ -0,0 +1,225 @@
+package mesh
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/invar"
+	"wagtailyoke/core/place"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// exchangeTimeout bounds an exchange with another node: a node that does not answer for
+// that long is passed over.
+const exchangeTimeout = 400 * time.Millisecond
+
+// tableTimeout bounds the fetch of a routing table, which can be a megabyte.
+const tableTimeout = time.Second
+
+// spread is the state of the exchange with other nodes.
+type spread struct {
+	mu sync.Mutex
+	// asking holds the nodes with an exchange under way, again those that are due
+	// for another one at once.
+	asking map[world.NodeID]bool
+	again  map[world.NodeID]bool
+	// fetching means that a routing table is being fetched from a node.
+	fetching bool
+}
+
+// tick measures, tells the others and takes in what they told.
+func (n *Node) tick() {
+	n.gate.Measure()
+	n.refresh()
+	n.exchange()
+	n.sweep()
+	n.useRecords()
+}
+
+// refresh renews the own record.
+func (n *Node) refresh() {
+	info := n.upstream.info()
+	service := n.callerService()
+	running, waiting, limit := n.line.Counts()
+	demands := n.gate.Demands()
+	isStopping := n.IsStopping()
+	version := n.tableVersion()
+	n.view.SetSelf(func(r *wire.FleetRecord) {
+		r.Upstream = info
+		r.Service = string(service)
+		r.Running, r.Queued, r.Limit = uint32(running), uint32(waiting), uint32(limit)
+		r.Demands = demands
+		r.Stopping = isStopping
+		r.TableVersion = uint64(version)
+	})
+}
+
+func (n *Node) tableVersion() world.ConfigVersion {
+	if t := n.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// exchange asks the nodes that are due.
+func (n *Node) exchange() {
+	for _, name := range n.view.Targets() {
+		n.ask(name)
+	}
+}
+
+// exchangeSoon tells news without waiting for the next period.
+func (n *Node) exchangeSoon() { n.Clock.After(0, n.exchange) }
+
+func (n *Node) ask(name world.NodeID) {
+	address, ok := n.view.AddressOf(name)
+	if !ok || name == n.Info.Name {
+		return
+	}
+	s := &n.news
+	s.mu.Lock()
+	if s.asking == nil {
+		s.asking, s.again = map[world.NodeID]bool{}, map[world.NodeID]bool{}
+	}
+	if s.asking[name] {
+		s.again[name] = true
+		s.mu.Unlock()
+		return
+	}
+	s.asking[name] = true
+	s.mu.Unlock()
+	req, index := n.view.Ask(name)
+	n.Links.Exchange(address, req, exchangeTimeout, func(reply *wire.ExchangeReply, err error) {
+		n.exchanged(name, address, index, reply, err)
+	})
+}
+
+func (n *Node) exchanged(name world.NodeID, address world.Address, index uint64, reply *wire.ExchangeReply, err error) {
+	s := &n.news
+	s.mu.Lock()
+	delete(s.asking, name)
+	again := s.again[name]
+	delete(s.again, name)
+	s.mu.Unlock()
+	if err != nil {
+		n.view.Failed(name)
+		n.Events.Log(event.PeerSilent, event.Field{Name: "peer", Value: name}, event.Field{Name: "error", Value: err.Error()})
+		return
+	}
+	if n.view.Answered(name, reply, index) {
+		n.useRecords()
+	}
+	n.noteVersion(address, world.ConfigVersion(reply.GetTableVersion()))
+	if again {
+		n.ask(name)
+	}
+}
+
+// HandleExchange serves an exchange of another node.
+func (n *Node) HandleExchange(req *wire.ExchangeRequest) *wire.ExchangeReply {
+	reply := n.view.Answer(req)
+	n.noteRecords(req.GetRecords())
+	return reply
+}
+
+// noteRecords fetches the routing table of a node that is ahead.
+func (n *Node) noteRecords(records []*wire.FleetRecord) {
+	for _, r := range records {
+		if world.ConfigVersion(r.GetTableVersion()) > n.tableVersion() {
+			n.noteVersion(world.Address(r.GetPeerAddress()), world.ConfigVersion(r.GetTableVersion()))
+			return
+		}
+	}
+}
+
+func (n *Node) noteVersion(address world.Address, version world.ConfigVersion) {
+	if version <= n.tableVersion() {
+		return
+	}
+	s := &n.news
+	s.mu.Lock()
+	if s.fetching {
+		s.mu.Unlock()
+		return
+	}
+	s.fetching = true
+	s.mu.Unlock()
+	n.Links.Table(address, tableTimeout, func(reply *wire.TableReply, err error) {
+		s.mu.Lock()
+		s.fetching = false
+		s.mu.Unlock()
+		if err == nil && len(reply.GetDocument()) > 0 {
+			n.install(reply.GetDocument(), "node")
+		}
+	})
+}
+
+// HandleTable serves the routing table to another node.
+func (n *Node) HandleTable() *wire.TableReply {
+	t := n.table.Load()
+	if t == nil {
+		return &wire.TableReply{}
+	}
+	return &wire.TableReply{Version: uint64(t.Version), Document: t.document}
+}
+
+// ErrOldTable means that a routing table is not newer than the one in force.
+var ErrOldTable = errors.New("routing table is not newer than the one in force")
+
+// install puts a routing table in force if it is newer than the present one.
+func (n *Node) install(document []byte, source string) {
+	t, err := n.Decode(document)
+	if err != nil {
+		n.Events.Log(event.ConfigRejected, event.Field{Name: "source", Value: source}, event.Field{Name: "error", Value: err.Error()})
+		return
+	}
+	next := &installed{Table: t, document: document}
+	n.mu.Lock()
+	old := n.table.Load()
+	isNewer := old == nil || t.Version > old.Version
+	if isNewer {
+		n.table.Store(next)
+	}
+	n.mu.Unlock()
+	if !isNewer {
+		return
+	}
+	n.Checks.That(old == nil || old.Version < t.Version, invar.ConfigMonotonic, "version %d after %d", t.Version, n.tableVersion())
+	n.gate.Install(t.Customers)
+	n.Events.Log(event.ConfigInstalled, event.Field{Name: "version", Value: t.Version}, event.Field{Name: "source", Value: source})
+	n.refresh()
+	n.exchangeSoon()
+}
+
+// useRecords takes in what the records of other nodes say.
+func (n *Node) useRecords() {
+	nodes := n.view.Nodes()
+	endpoints := make([]place.Endpoint, 0, len(nodes))
+	for _, node := range nodes {
+		r := node.Record
+		if r.GetNode() != string(n.Info.Name) {
+			n.gate.Learn(world.NodeID(r.GetNode()), r.GetDemands())
+		}
+		u := r.GetUpstream()
+		if u.GetState() != wire.NodeState_NODE_STATE_READY || r.GetStopping() {
+			continue
+		}
+		endpoints = append(endpoints, place.Endpoint{
+			Node:        world.NodeID(r.GetNode()),
+			Domain:      world.DomainID(r.GetDomain()),
+			Service:     world.ServiceID(r.GetService()),
+			Peer:        world.Address(r.GetPeerAddress()),
+			Instance:    world.InstanceID(u.GetInstance()),
+			Incarnation: r.GetIncarnation(),
+			IsSilent:    node.IsSilent,
+			Load:        int(r.GetRunning() + r.GetQueued()),
+			Limit:       int(r.GetLimit()),
+		})
+	}
+	n.picker.Update(endpoints)
+	n.budgets.SetNodes(len(nodes))
+}
--- /dev/null
+++ b/core/mesh/stop.go
@@ -0,0 +1,71 @@
+package mesh
+
+import (
+	"time"
+
+	"wagtailyoke/core/event"
+)
+
+const (
+	// leaveTime is how long callers take to notice that the node is not ready: two
+	// looks a second apart, and some time for the last one.
+	leaveTime = 2500 * time.Millisecond
+	// graceMargin is kept of the grace for the end of the process itself.
+	graceMargin = 500 * time.Millisecond
+)
+
+// Stop begins the graceful shutdown: the node tells that it is not ready, serves what
+// still comes until callers have left, and lets its calls finish. done is called once.
+func (n *Node) Stop(done func()) {
+	n.mu.Lock()
+	if n.stopping {
+		n.mu.Unlock()
+		return
+	}
+	n.stopping = true
+	n.mu.Unlock()
+	n.Events.Log(event.NodeStopping)
+	n.refresh()
+	n.exchange()
+	if n.entry != nil {
+		n.entry.remove()
+	}
+	n.Clock.After(leaveTime, func() {
+		n.mu.Lock()
+		n.stopped = done
+		n.mu.Unlock()
+		n.noteIdle()
+	})
+	n.Clock.After(n.Options.Grace-graceMargin, n.end)
+}
+
+// noteIdle ends a stopping node once it has no calls.
+func (n *Node) noteIdle() {
+	n.mu.Lock()
+	isIdle := n.stopped != nil && n.flights == 0 && n.runs == 0
+	n.mu.Unlock()
+	if isIdle {
+		n.end()
+	}
+}
+
+func (n *Node) end() {
+	n.mu.Lock()
+	done, cut := n.stopped, n.flights+n.runs
+	n.stopped = nil
+	isEnded := n.isEnded
+	n.isEnded = true
+	n.mu.Unlock()
+	if isEnded || done == nil {
+		return
+	}
+	for _, stop := range n.stops {
+		stop()
+	}
+	if cut > 0 {
+		n.Events.Log(event.NodeStopCut, event.Field{Name: "calls", Value: cut})
+	} else {
+		n.Events.Log(event.NodeStopped)
+	}
+	done()
+}
--- a/core/node/beat.go
+++ b/core/node/beat.go
@@ -308,7 +308,7 @@
 	n.control(to, req, n.Options.Term.Round, func(m proto.Message, err error) {
 		reply, ok := m.(*wire.TestifyReply)
 		if !ok && err == nil {
-			err = ErrBroken
+			err = world.ErrBroken
 		}
 		done(reply, err)
 	})
--- a/core/node/crash.go
+++ b/core/node/crash.go
@@ -74,7 +74,7 @@
 	}
 	n.probing = true
 	var fingerprints []uint64
-	if errors.Is(err, ErrBroken) {
+	if errors.Is(err, world.ErrBroken) {
 		for other := range n.inFlight {
 			fingerprints = append(fingerprints, other.call.Fingerprint)
 		}
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -192,7 +192,7 @@
 func (f *flight) answered(target route.Endpoint, lent int, r *world.Reply, err error) {
 	if err != nil {
 		r = brokenAttempt(err)
-		if errors.Is(err, ErrNotSent) {
+		if errors.Is(err, world.ErrNotSent) {
 			r.BudgetLeft = lent
 		}
 	}
@@ -227,7 +227,7 @@
 
 func brokenAttempt(err error) *world.Reply {
 	run := world.RunMaybe
-	if errors.Is(err, ErrNotSent) {
+	if errors.Is(err, world.ErrNotSent) {
 		run = world.RunNo
 	}
 	return world.Refuse(http.StatusBadGateway, world.CodeUnreachable, run, time.Second)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -41,14 +41,6 @@
 	"wagtailyoke/core/world"
 )
 
-// Errors that Links and Upstream report.
-var (
-	// ErrNotSent means that no byte of the call left.
-	ErrNotSent = errors.New("call was not sent")
-	// ErrBroken means that the connection failed after the call was sent.
-	ErrBroken = errors.New("connection broke before the whole answer came")
-)
-
 // Links carries calls and control messages to other nodes. Each done is called at
 // most once; a message may be lost, late or repeated.
 type Links interface {
--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -285,7 +285,7 @@
 			l.v.inLife(l.life, func() { done(m, err) })
 		}
 	}
-	f.clock.After(timeout, func() { finish(nil, node.ErrBroken) })
+	f.clock.After(timeout, func() { finish(nil, world.ErrBroken) })
 	copies := 1
 	if f.random.Float64() < f.lossy/2 {
 		copies = 2
@@ -339,20 +339,20 @@
 	cancelTarget := func() {}
 	f.clock.After(f.latency(l.v.info.Domain, target.info.Domain), func() {
 		if !target.alive {
-			finish(nil, node.ErrNotSent)
+			finish(nil, world.ErrNotSent)
 			return
 		}
 		if f.isCut(l.v, target) {
-			f.clock.After(dialTimeout, func() { finish(nil, node.ErrNotSent) })
+			f.clock.After(dialTimeout, func() { finish(nil, world.ErrNotSent) })
 			return
 		}
 		life := target.life
-		f.watchLife(target, life, func() { finish(nil, node.ErrBroken) })
+		f.watchLife(target, life, func() { finish(nil, world.ErrBroken) })
 		target.inLife(life, func() {
 			cancelTarget = target.n.ServePeer(&copied, func(r *world.Reply) {
 				if f.isCut(target, l.v) || f.random.Float64() < f.lossy/4 {
 					// The answer is lost; the connection breaks later.
-					f.clock.After(dialTimeout, func() { finish(nil, node.ErrBroken) })
+					f.clock.After(dialTimeout, func() { finish(nil, world.ErrBroken) })
 					return
 				}
 				f.clock.After(f.latency(target.info.Domain, l.v.info.Domain), func() { finish(r, nil) })
@@ -470,7 +470,7 @@
 	for _, id := range ids {
 		j := u.jobs[id]
 		delete(u.jobs, id)
-		u.v.inLife(u.v.life, func() { j.done(nil, node.ErrBroken) })
+		u.v.inLife(u.v.life, func() { j.done(nil, world.ErrBroken) })
 	}
 }
 
@@ -492,7 +492,7 @@
 		}
 	}
 	if u.down {
-		f.clock.After(nearLatency, func() { u.v.inLife(u.v.life, func() { done(nil, node.ErrNotSent) }) })
+		f.clock.After(nearLatency, func() { u.v.inLife(u.v.life, func() { done(nil, world.ErrNotSent) }) })
 		return func() {}
 	}
 	u.jobs[id] = &job{call: c, done: done}
@@ -514,7 +514,7 @@
 	f.clock.After(took, func() { u.children(c, token, id, finish) })
 	return func() {
 		// A request that was given up ends with an error, as over a socket.
-		f.clock.After(nearLatency, func() { finish(nil, node.ErrBroken) })
+		f.clock.After(nearLatency, func() { finish(nil, world.ErrBroken) })
 	}
 }
 
--- a/core/node/target.go
+++ b/core/node/target.go
@@ -199,7 +199,7 @@
 
 // brokenReply distinguishes a connection that was never made from one that broke.
 func (r *run) brokenReply(err error) *world.Reply {
-	if errors.Is(err, ErrNotSent) {
+	if errors.Is(err, world.ErrNotSent) {
 		return world.Refuse(http.StatusBadGateway, world.CodeUnreachable, world.RunNo, time.Second)
 	}
 	// Final: the call may be what broke the upstream. Its caller may send it again,
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,303 @@
+// Package place chooses the endpoint that is to run a call.
+//
+// # Usage
+//
+//	p := place.New(clock, random, domain, node)
+//	p.Update(endpoints)
+//	e, ok := p.Pick(service, tried)
+//	p.Done(e.Node, place.Outcome{Took: ..., Load: ..., Limit: ...})
+//
+// The load that it answers: endpoints of one service that differ in speed by a factor of
+// three, of which each failure domain has one or a few. Bytes between domains cost and
+// take time, so the own domain comes first; but an endpoint that is slow, loaded or
+// failing loses its calls to others before callers notice.
+package place
+
+import (
+	"math"
+	"math/rand"
+	"sort"
+	"sync"
+	"time"
+
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
+)
+
+// Endpoint is an upstream with the node that leads to it.
+type Endpoint struct {
+	Node        world.NodeID
+	Domain      world.DomainID
+	Service     world.ServiceID
+	Peer        world.Address
+	Instance    world.InstanceID
+	Incarnation uint64
+	// IsSilent means that the node was not heard of for a while.
+	IsSilent bool
+	// Load and Limit are what the node last said of its upstream.
+	Load  int
+	Limit int
+}
+
+// Outcome is what the end of a call tells about its endpoint.
+type Outcome struct {
+	// Took is the time from sending to the answer, 0 if that says nothing.
+	Took  time.Duration
+	Route world.RouteID
+	// Failed means that the endpoint did not answer well.
+	Failed bool
+	// IsRefused means that the endpoint's node refused the call before it ran.
+	IsRefused bool
+	// IsLeaving means that the upstream takes no more calls.
+	IsLeaving bool
+	// Load and Limit are the node's calls in flight and concurrency limit, if it said so.
+	Load  int
+	Limit int
+}
+
+const (
+	// farPenalty is how much worse an endpoint of another failure domain counts.
+	farPenalty = 1.5
+	// ownBonus is how much better the upstream of this VM counts: there is no hop.
+	ownBonus = 0.9
+	// sharpness is the power by which a worse score makes a choice less likely.
+	sharpness = 8
+	// slowWeight is the weight of a new sample in the measured slowness.
+	slowWeight = 0.1
+	// failWeight is the weight of a new sample in the share of failures.
+	failWeight = 0.15
+	// failPenalty is how much worse an endpoint counts for failing always.
+	failPenalty = 6
+	// leastSlowness and mostSlowness bound the measured slowness.
+	leastSlowness = 0.2
+	mostSlowness  = 20
+	// busyFrom is the share of the limit in use from which calls will wait or slow down.
+	busyFrom = 0.6
+	// busyPenalty is how much worse an endpoint counts when its limit is in use whole.
+	busyPenalty = 1.5
+	// queuePenalty is the same for each further limit's worth of calls.
+	queuePenalty = 4
+	// failuresToExclude is the number of failures in a row that exclude an endpoint.
+	failuresToExclude = 3
+	leastExclusion    = 500 * time.Millisecond
+	mostExclusion     = 4 * time.Second
+	// leavingTime is how long a reported leave outweighs the records, which lag.
+	leavingTime = 2 * time.Second
+	// forgetSlow is the time constant at which an unused endpoint's slowness and
+	// failures are forgiven, so that it is tried again.
+	forgetSlow = 4 * time.Second
+	// defaultLimit is the concurrency limit of an endpoint that has not told one.
+	defaultLimit = 16
+)
+
+type state struct {
+	Endpoint
+	inFlight int
+	slowness float64
+	failing  float64
+	touched  time.Duration
+	// load and limit were told at an instant; since counts calls sent after it.
+	load, limit int
+	failures    int
+	excluded    time.Duration
+	leaving     time.Duration
+}
+
+// Picker keeps the endpoints of all services.
+type Picker struct {
+	clock  timer.Service
+	domain world.DomainID
+	node   world.NodeID
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	nodes    map[world.NodeID]*state
+	services map[world.ServiceID][]*state
+	// usual is the usual time of each route, over all endpoints.
+	usual map[world.RouteID]float64
+}
+
+// New returns a picker without endpoints for a node in a failure domain.
+func New(clock timer.Service, random *rand.Rand, domain world.DomainID, node world.NodeID) *Picker {
+	return &Picker{
+		clock:    clock,
+		domain:   domain,
+		node:     node,
+		random:   random,
+		nodes:    map[world.NodeID]*state{},
+		services: map[world.ServiceID][]*state{},
+		usual:    map[world.RouteID]float64{},
+	}
+}
+
+// Update replaces the endpoints; what is known of those that stay is kept.
+func (p *Picker) Update(endpoints []Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	nodes := make(map[world.NodeID]*state, len(endpoints))
+	services := map[world.ServiceID][]*state{}
+	for _, e := range endpoints {
+		s := p.nodes[e.Node]
+		if s == nil || s.Incarnation != e.Incarnation || s.Instance != e.Instance {
+			s = &state{slowness: 1, touched: p.clock.Now()}
+		}
+		s.Endpoint = e
+		s.load, s.limit = e.Load, e.Limit
+		nodes[e.Node] = s
+		services[e.Service] = append(services[e.Service], s)
+	}
+	for _, list := range services {
+		sort.Slice(list, func(i, j int) bool { return list[i].Node < list[j].Node })
+	}
+	p.nodes, p.services = nodes, services
+}
+
+// Pick chooses an endpoint that is not among the tried ones and counts a call in
+// flight to it. It returns false if no endpoint is left.
+func (p *Picker) Pick(service world.ServiceID, tried []world.NodeID) (Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.usableLocked(service, tried)
+	if len(list) == 0 {
+		return Endpoint{}, false
+	}
+	best := p.drawLocked(list)
+	best.inFlight++
+	return best.Endpoint, true
+}
+
+// usableLocked returns the endpoints that may be tried. Those that are excluded or silent
+// are left out unless nothing else is left.
+func (p *Picker) usableLocked(service world.ServiceID, tried []world.NodeID) []*state {
+	now := p.clock.Now()
+	var good, rest []*state
+	for _, s := range p.services[service] {
+		switch {
+		case contains(tried, s.Node) || now < s.leaving:
+		case now < s.excluded || s.IsSilent:
+			rest = append(rest, s)
+		default:
+			good = append(good, s)
+		}
+	}
+	if len(good) > 0 {
+		return good
+	}
+	return rest
+}
+
+func contains(nodes []world.NodeID, node world.NodeID) bool {
+	for _, n := range nodes {
+		if n == node {
+			return true
+		}
+	}
+	return false
+}
+
+// drawLocked draws an endpoint at random, a better one much more likely. A firm choice of
+// the best would send the calls of all nodes to the same one at once.
+func (p *Picker) drawLocked(list []*state) *state {
+	best := math.Inf(1)
+	scores := make([]float64, len(list))
+	for i, s := range list {
+		scores[i] = p.scoreLocked(s)
+		best = min(best, scores[i])
+	}
+	sum := 0.0
+	for i := range scores {
+		scores[i] = math.Pow(best/scores[i], sharpness)
+		sum += scores[i]
+	}
+	at := p.random.Float64() * sum
+	for i, s := range list {
+		if at < scores[i] {
+			return s
+		}
+		at -= scores[i]
+	}
+	return list[len(list)-1]
+}
+
+// scoreLocked is the expected time of a call, relative to the usual one.
+func (p *Picker) scoreLocked(s *state) float64 {
+	idle := p.clock.Now() - s.touched
+	fresh := math.Exp(-idle.Seconds() / forgetSlow.Seconds())
+	score := 1 + (s.slowness-1)*fresh
+	score *= 1 + failPenalty*s.failing*fresh
+	score *= crowding(max(s.load, s.inFlight)+1, s.limit)
+	switch {
+	case s.Node == p.node:
+		score *= ownBonus
+	case s.Domain != p.domain:
+		score *= farPenalty
+	}
+	return score
+}
+
+// crowding is the factor by which calls in flight lengthen the next one.
+func crowding(load, limit int) float64 {
+	if limit <= 0 {
+		limit = defaultLimit
+	}
+	use := float64(load) / float64(limit)
+	if use <= busyFrom {
+		return 1
+	}
+	if use <= 1 {
+		return 1 + (busyPenalty-1)*(use-busyFrom)/(1-busyFrom)
+	}
+	return busyPenalty + queuePenalty*(use-1)
+}
+
+// Done ends a call in flight.
+func (p *Picker) Done(node world.NodeID, o Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.nodes[node]
+	if s == nil {
+		return
+	}
+	now := p.clock.Now()
+	s.inFlight = max(0, s.inFlight-1)
+	if o.Limit > 0 {
+		s.load, s.limit = o.Load, o.Limit
+	}
+	if o.IsLeaving {
+		s.leaving = now + leavingTime
+		return
+	}
+	if o.IsRefused {
+		return
+	}
+	p.judgeLocked(s, o, now)
+}
+
+func (p *Picker) judgeLocked(s *state, o Outcome, now time.Duration) {
+	fresh := math.Exp(-(now - s.touched).Seconds() / forgetSlow.Seconds())
+	s.slowness = 1 + (s.slowness-1)*fresh
+	s.failing *= fresh
+	s.touched = now
+	if o.Failed {
+		s.failing += failWeight * (1 - s.failing)
+		s.failures++
+		if s.failures >= failuresToExclude {
+			s.excluded = now + min(leastExclusion<<min(s.failures-failuresToExclude, 3), mostExclusion)
+		}
+		return
+	}
+	s.failing -= failWeight * s.failing
+	s.failures = 0
+	if o.Took <= 0 {
+		return
+	}
+	took := o.Took.Seconds()
+	usual, ok := p.usual[o.Route]
+	if !ok {
+		p.usual[o.Route] = took
+		return
+	}
+	p.usual[o.Route] = usual + slowWeight/4*(took-usual)
+	sample := min(max(took/max(usual, 1e-4), leastSlowness), mostSlowness)
+	s.slowness += slowWeight * (sample - s.slowness)
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -27,6 +27,8 @@
 	ErrNotFound = errors.New("object not found")
 	// ErrUnavailable means that no answer came; a write may have taken effect.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrCompacted means that the changes since a version are no longer known.
+	ErrCompacted = errors.New("history of the objects is gone")
 	// ErrUnchanged means that a watch ended without a change.
 	ErrUnchanged = errors.New("object unchanged")
 )
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -10,8 +10,19 @@
 package world
 
 import (
+	"io"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a call that ended without a reply.
+var (
+	// ErrNotSent means that no byte of the call left.
+	ErrNotSent = errors.New("call was not sent")
+	// ErrBroken means that the connection failed after the call was sent.
+	ErrBroken = errors.New("connection broke before the whole answer came")
 )
 
 // Ids of the objects of a fleet.
@@ -34,6 +45,10 @@
 	Epoch uint64
 	// ConfigVersion counts the versions of the configuration object.
 	ConfigVersion uint64
+	// InstanceID names one upstream process; a new process mostly has a new one.
+	InstanceID string
+	// Rank orders routes and customers: 0 is served first.
+	Rank int
 )
 
 // Importance orders routes for load shedding. A higher value is shed later.
@@ -123,6 +138,7 @@
 	CodeBadRequest       Code = "badRequest"
 	CodeBodyTooLarge     Code = "bodyTooLarge"
 	CodeConfigurationOld Code = "configurationStale"
+	CodeStaleInstance    Code = "staleInstance"
 )
 
 // Call is one request at one hop. It is not changed after it was handed on.
@@ -145,10 +161,25 @@
 	// Fingerprint identifies requests with the same effect on an upstream.
 	Fingerprint uint64
 
+	// Host is the host that the call was made to, where routes depend on it.
+	Host string
+	// Caller is the service whose VM the call began on.
+	Caller ServiceID
+	// Rank is the route's or customer's rank among all routes.
+	Rank Rank
+	// Target is the instant until which an answer is of full use, 0 if there is none.
+	Target time.Duration
+
 	Method string
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Rest is what follows Body, if the body was not read whole. It is read once,
+	// so such a call is sent once.
+	Rest io.Reader
+	// Length is the length of the whole body, or -1 if only its end will tell. It
+	// counts only together with Rest.
+	Length int64
 }
 
 // HasKey reports whether an idempotency record guards the call.
@@ -156,9 +187,14 @@
 
 // Reply is the complete answer to a call, or a refusal when Code is set.
 type Reply struct {
-	Status     int
-	Header     http.Header
-	Body       []byte
+	Status int
+	Header http.Header
+	Body   []byte
+	// Rest is what follows Body, if the body was not read whole. Its reader closes it.
+	Rest io.ReadCloser
+	// Length is the length of the whole body, or -1 if only its end will tell. It
+	// counts only together with Rest.
+	Length     int64
 	Code       Code
 	Run        Run
 	RetryAfter time.Duration
--- a/io/admin/commands.go
+++ b/io/admin/commands.go
@@ -47,6 +47,7 @@
 func (a *app) commands() []command {
 	return []command{
 		{name: "node", short: "run a node", long: "Runs a node until SIGTERM.\n\nExample: wagtailyoke node --config node.toml", data: &nodeCommand{app: a}},
+		{name: "sidecar", short: "run a node of a mesh", long: "Runs the node beside an upstream until SIGTERM. Callers are on the same VM.\n\nExample: wagtailyoke sidecar --config sidecar.toml", data: &sidecarCommand{app: a}},
 		{name: "customer", short: "customers and their contracts", subs: []command{
 			{name: "set", short: "add a customer or change its contract", long: "Example: wagtailyoke customer set mill-7 --rate 40 --burst 80", data: &customerSet{app: a}},
 			{name: "remove", short: "remove a customer and its keys", data: &customerRemove{app: a}},
--- a/io/admin/main.go
+++ b/io/admin/main.go
@@ -132,3 +132,23 @@
 	}
 	return proc.Run(c.app.ctx, s)
 }
+
+// sidecarCommand runs a node of a mesh.
+type sidecarCommand struct {
+	Config string `long:"config" required:"true" description:"settings file"`
+	Check  bool   `long:"check" description:"check the settings and exit"`
+	app    *app
+}
+
+// Execute implements flags.Commander.
+func (c *sidecarCommand) Execute([]string) error {
+	s, err := conf.LoadSidecar(c.Config)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		c.app.print("%s: settings are valid", c.Config)
+		return nil
+	}
+	return proc.RunSidecar(c.app.ctx, c.Config, s)
+}
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -142,7 +142,7 @@
 	faults []Fault
 }
 
-func (c *checker) decode(s *Settings) {
+func (c *checker) decode(s any) {
 	decoder := toml.NewDecoder(strings.NewReader(c.text)).DisallowUnknownFields()
 	err := decoder.Decode(s)
 	var strict *toml.StrictMissingError
--- /dev/null
+++ b/io/conf/sidecar.go
@@ -0,0 +1,113 @@
+package conf
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// Sidecar holds the settings of a node of a mesh, see `wagtailyoke sidecar`.
+type Sidecar struct {
+	Node     Node            `toml:"node"`
+	Listen   SidecarListen   `toml:"listen"`
+	Upstream Upstream        `toml:"upstream"`
+	Platform SidecarPlatform `toml:"platform"`
+	Retry    SidecarRetry    `toml:"retry"`
+	Quota    SidecarQuota    `toml:"quota"`
+	Stop     SidecarStop     `toml:"stop"`
+	Limits   SidecarLimits   `toml:"limits"`
+}
+
+// SidecarListen holds the addresses of the listeners.
+type SidecarListen struct {
+	// Calls is for the callers on this VM and its upstream.
+	Calls string `toml:"calls"`
+	Peer  string `toml:"peer"`
+	// Ready is where the platform asks whether callers may come.
+	Ready string `toml:"ready"`
+	// Heartbeats is where the upstream announces itself.
+	Heartbeats string `toml:"heartbeats"`
+	Metrics    string `toml:"metrics"`
+}
+
+// SidecarPlatform is the platform's store.
+type SidecarPlatform struct {
+	Address string `toml:"address"`
+}
+
+// SidecarRetry bounds retries to a service over all nodes.
+type SidecarRetry struct {
+	// Ratio is of the calls to the service, Slack a number of calls, each in a window.
+	Ratio         float64 `toml:"ratio"`
+	Slack         float64 `toml:"slack"`
+	WindowSeconds float64 `toml:"windowSeconds"`
+}
+
+// SidecarQuota is how far customers may exceed their rates over all nodes.
+type SidecarQuota struct {
+	// Overage is of the requests of a window, Slack a number of requests in one.
+	WindowSeconds float64 `toml:"windowSeconds"`
+	Overage       float64 `toml:"overage"`
+	Slack         float64 `toml:"slack"`
+}
+
+// SidecarStop bounds a graceful shutdown.
+type SidecarStop struct {
+	GraceSeconds float64 `toml:"graceSeconds"`
+}
+
+// SidecarLimits are the limits of the process.
+type SidecarLimits struct {
+	MemoryMb int `toml:"memoryMb"`
+}
+
+// LoadSidecar reads and checks a settings file of a sidecar.
+func LoadSidecar(file string) (*Sidecar, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(ErrInvalid, err.Error())
+	}
+	return ParseSidecar(file, text)
+}
+
+// ParseSidecar checks the text of a settings file of a sidecar.
+func ParseSidecar(file string, text []byte) (*Sidecar, error) {
+	s := &Sidecar{}
+	c := &checker{text: string(text)}
+	c.decode(s)
+	if len(c.faults) == 0 {
+		c.checkSidecar(s)
+	}
+	if len(c.faults) > 0 {
+		return nil, &Faults{File: file, List: c.faults}
+	}
+	return s, nil
+}
+
+func (c *checker) checkSidecar(s *Sidecar) {
+	c.name("node", "name", s.Node.Name)
+	c.name("node", "domain", s.Node.Domain)
+	c.name("node", "service", s.Node.Service)
+	c.address("listen", "calls", s.Listen.Calls)
+	c.address("listen", "peer", s.Listen.Peer)
+	c.address("listen", "ready", s.Listen.Ready)
+	c.address("listen", "heartbeats", s.Listen.Heartbeats)
+	c.address("listen", "metrics", s.Listen.Metrics)
+	c.address("upstream", "address", s.Upstream.Address)
+	c.address("platform", "address", s.Platform.Address)
+	c.within("retry", "ratio", s.Retry.Ratio, 0, 1)
+	c.within("retry", "slack", s.Retry.Slack, 0, 1e6)
+	c.within("retry", "windowSeconds", s.Retry.WindowSeconds, 1, 3600)
+	c.within("quota", "windowSeconds", s.Quota.WindowSeconds, 1, 3600)
+	c.within("quota", "overage", s.Quota.Overage, 0, 1)
+	c.within("quota", "slack", s.Quota.Slack, 0, 1e6)
+	c.within("stop", "graceSeconds", s.Stop.GraceSeconds, 4, 600)
+	c.between("limits", "memoryMb", s.Limits.MemoryMb, 64, 1<<20)
+}
+
+func (c *checker) within(section, key string, value, least, most float64) {
+	if !(value >= least && value <= most) {
+		c.fault(section, key, fmt.Sprintf("%v is out of range", value), fmt.Sprintf("%v to %v", least, most))
+	}
+}
--- /dev/null
+++ b/io/httpx/mesh.go
@@ -0,0 +1,87 @@
+package httpx
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"wagtailyoke/core/mesh"
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/world"
+	"wagtailyoke/io/body"
+)
+
+// Dialect is how the callers of a mesh speak.
+type Dialect interface {
+	// Read takes a request apart, but for its body. It returns false if the request
+	// cannot be told from others.
+	Read(r *http.Request) (mesh.Incoming, bool)
+	// DressRefusal sets the headers of an answer that the node makes itself.
+	DressRefusal(h http.Header, id world.RequestID, r *world.Reply)
+}
+
+// MeshNode is the node behind a listener for callers.
+type MeshNode interface {
+	Serve(in mesh.Incoming, done func(*world.Reply)) (cancel func())
+	Limits() (table.Limits, bool)
+	IsStopping() bool
+}
+
+// NewMeshFront returns the handler of the listener for callers and the own upstream.
+func NewMeshFront(n MeshNode, dialect Dialect) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	f := &meshFront{node: n, dialect: dialect}
+	engine.NoRoute(f.handle)
+	engine.NoMethod(f.handle)
+	return engine
+}
+
+type meshFront struct {
+	node    MeshNode
+	dialect Dialect
+}
+
+func (f *meshFront) handle(c *gin.Context) {
+	w, r := c.Writer, c.Request
+	in, ok := f.dialect.Read(r)
+	if !ok {
+		f.write(w, in.Call.ID, world.Refuse(http.StatusBadRequest, world.CodeBadRequest, world.RunNo, 0))
+		return
+	}
+	if limits, ok := f.node.Limits(); ok && limits.BodyBytes > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+	}
+	var err error
+	if in.Call.Body, in.Call.Rest, in.Call.Length, err = body.Read(r); err != nil {
+		f.write(w, in.Call.ID, bodyRefusal(err))
+		return
+	}
+	body.DropHopHeaders(in.Call.Header)
+	in.Call.Header.Del("Content-Length")
+	answered := make(chan *world.Reply, 1)
+	cancel := f.node.Serve(in, func(reply *world.Reply) { answered <- reply })
+	select {
+	case reply := <-answered:
+		f.write(w, in.Call.ID, reply)
+	case <-r.Context().Done():
+		cancel()
+	}
+}
+
+func (f *meshFront) write(w http.ResponseWriter, id world.RequestID, r *world.Reply) {
+	if f.node.IsStopping() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.IsRefusal() {
+		f.dialect.DressRefusal(w.Header(), id, r)
+		writeProblemBody(w, r)
+		return
+	}
+	h := w.Header()
+	for name, values := range r.Header {
+		h[name] = values
+	}
+	dropHopHeadersButClose(h)
+	body.Write(w, r)
+}
--- a/io/httpx/serve.go
+++ b/io/httpx/serve.go
@@ -19,6 +19,7 @@
 
 	"wagtailyoke/core/node"
 	"wagtailyoke/core/world"
+	"wagtailyoke/io/body"
 	"wagtailyoke/io/peer"
 )
 
@@ -68,6 +69,7 @@
 	world.CodeQuarantined:      "the request was in flight when upstreams died",
 	world.CodeBadRequest:       "the request could not be read",
 	world.CodeBodyTooLarge:     "the body is larger than 1 MiB",
+	world.CodeStaleInstance:    "another upstream has the address",
 	world.CodeConfigurationOld: "the node was cut off for longer than its keys may be used",
 }
 
@@ -91,7 +93,7 @@
 }
 
 func (f *front) handle(c *gin.Context) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, peer.MaxBodyBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, peer.MaxBodyBytes))
 	if err != nil {
 		writeReply(c.Writer, bodyRefusal(err))
 		return
@@ -100,10 +102,10 @@
 		Method:  c.Request.Method,
 		Path:    c.Request.URL.RequestURI(),
 		Header:  c.Request.Header,
-		Body:    body,
+		Body:    data,
 		Timeout: timeoutOf(c.Request.Header),
 	}
-	dropHopHeaders(in.Header)
+	body.DropHopHeaders(in.Header)
 	answered := make(chan *world.Reply, 1)
 	cancel := f.serve(in, func(r *world.Reply) { answered <- r })
 	select {
@@ -132,18 +134,6 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func dropHopHeaders(h http.Header) {
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 func writeReply(w http.ResponseWriter, r *world.Reply) {
 	if r.IsRefusal() {
 		writeProblem(w, r)
@@ -162,7 +152,7 @@
 // dropHopHeadersButClose keeps this listener's own wish to close the connection.
 func dropHopHeadersButClose(h http.Header) {
 	wantsClose := h.Get("Connection") == "close"
-	dropHopHeaders(h)
+	body.DropHopHeaders(h)
 	if wantsClose {
 		h.Set("Connection", "close")
 	}
@@ -172,6 +162,10 @@
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
+	writeProblemBody(w, r)
+}
+
+func writeProblemBody(w http.ResponseWriter, r *world.Reply) {
 	run := r.Run
 	if run == world.RunDone {
 		run = world.RunMaybe
@@ -187,8 +181,8 @@
 	})
 }
 
-func writeJSON(w http.ResponseWriter, mediaType string, status int, body any) {
+func writeJSON(w http.ResponseWriter, mediaType string, status int, content any) {
 	w.Header().Set("Content-Type", mediaType)
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_ = json.NewEncoder(w).Encode(content)
 }
--- a/io/httpx/upstream.go
+++ b/io/httpx/upstream.go
@@ -11,6 +11,7 @@
 	"wagtailyoke/core/node"
 	"wagtailyoke/core/timer"
 	"wagtailyoke/core/world"
+	"wagtailyoke/io/body"
 	"wagtailyoke/io/peer"
 )
 
@@ -35,7 +36,7 @@
 func (u *Upstream) Do(c *world.Call, token string, done func(*world.Reply, error)) (cancel func()) {
 	req, err := http.NewRequest(c.Method, "http://"+u.address+c.Path, nil)
 	if err != nil {
-		done(nil, errors.Wrap(node.ErrNotSent, err.Error()))
+		done(nil, errors.Wrap(world.ErrNotSent, err.Error()))
 		return func() {}
 	}
 	if c.Header != nil {
@@ -45,13 +46,13 @@
 	req.Header.Set(node.HeaderContext, token)
 	req.Header.Set(node.HeaderRequestID, string(c.ID))
 	req.Header.Set(node.HeaderTimeout, strconv.FormatInt((c.Deadline-u.clock.Now()).Milliseconds(), 10))
-	return peer.RoundTrip(u.transport, req, func(resp *http.Response, body []byte, err error) {
+	return peer.RoundTrip(u.transport, req, func(resp *http.Response, data []byte, err error) {
 		if err != nil {
 			done(nil, err)
 			return
 		}
-		dropHopHeaders(resp.Header)
-		done(&world.Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil)
+		body.DropHopHeaders(resp.Header)
+		done(&world.Reply{Status: resp.StatusCode, Header: resp.Header, Body: data}, nil)
 	})
 }
 
--- a/io/peer/control.go
+++ b/io/peer/control.go
@@ -16,7 +16,6 @@
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 
-	"wagtailyoke/core/node"
 	"wagtailyoke/core/timer"
 	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
@@ -62,7 +61,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(node.ErrNotSent, err.Error())
+		return nil, errors.Wrap(world.ErrNotSent, err.Error())
 	}
 	// The secret follows the header that selects drpc on the shared listener.
 	if _, err := raw.Write([]byte(drpcmigrate.DRPCHeader + padSecret(l.secret))); err != nil {
@@ -108,7 +107,7 @@
 		err = errors.Errorf("no control message of type %T", req)
 	}
 	if err != nil {
-		return nil, errors.Wrap(node.ErrBroken, err.Error())
+		return nil, errors.Wrap(world.ErrBroken, err.Error())
 	}
 	return reply, nil
 }
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -22,7 +22,6 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"wagtailyoke/core/node"
 	"wagtailyoke/core/timer"
 	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
@@ -48,7 +47,7 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
-				return nil, errors.Wrap(node.ErrNotSent, err.Error())
+				return nil, errors.Wrap(world.ErrNotSent, err.Error())
 			}
 			return conn, nil
 		},
@@ -88,7 +87,7 @@
 			err = errors.New("answer is longer than 1 MiB")
 		}
 		if err != nil {
-			done(nil, nil, errors.Wrap(node.ErrBroken, err.Error()))
+			done(nil, nil, errors.Wrap(world.ErrBroken, err.Error()))
 			return
 		}
 		done(resp, body, nil)
@@ -97,17 +96,17 @@
 }
 
 func classify(err error) error {
-	if errors.Is(err, node.ErrNotSent) {
+	if errors.Is(err, world.ErrNotSent) {
 		return err
 	}
-	return errors.Wrap(node.ErrBroken, err.Error())
+	return errors.Wrap(world.ErrBroken, err.Error())
 }
 
 // Forward implements node.Links.
 func (l *Links) Forward(to world.Address, c *world.Call, done func(*world.Reply, error)) (cancel func()) {
 	req, err := l.newForward(to, c)
 	if err != nil {
-		done(nil, errors.Wrap(node.ErrNotSent, err.Error()))
+		done(nil, errors.Wrap(world.ErrNotSent, err.Error()))
 		return func() {}
 	}
 	return RoundTrip(l.transport, req, func(resp *http.Response, body []byte, err error) {
@@ -115,7 +114,7 @@
 			done(nil, err)
 			return
 		}
-		done(readReply(c.ID, resp, body))
+		done(readReply(c.ID, resp.StatusCode, resp.Header, body))
 	})
 }
 
@@ -173,25 +172,41 @@
 		Home:        string(c.Home),
 		Epoch:       uint64(c.Epoch),
 		Fingerprint: c.Fingerprint,
+		Host:        c.Host,
+		Caller:      string(c.Caller),
+		Rank:        uint32(max(c.Rank, 0)),
+		TargetUs:    targetLeft(c, clock),
 	}
 }
 
-func readReply(id world.RequestID, resp *http.Response, body []byte) (*world.Reply, error) {
-	raw, err := base64.StdEncoding.DecodeString(resp.Header.Get(headerReply))
+func targetLeft(c *world.Call, clock timer.Service) int64 {
+	if c.Target == 0 {
+		return 0
+	}
+	// 0 stands for no target, so one that has just passed is told as a negative time.
+	left := (c.Target - clock.Now()).Microseconds()
+	if left == 0 {
+		return -1
+	}
+	return left
+}
+
+func readReply(id world.RequestID, status int, header http.Header, body []byte) (*world.Reply, error) {
+	raw, err := base64.StdEncoding.DecodeString(header.Get(headerReply))
 	meta := &wire.ReplyMeta{}
 	if err == nil {
 		err = proto.Unmarshal(raw, meta)
 	}
 	if err != nil {
-		return nil, errors.Wrap(node.ErrBroken, "reply meta")
+		return nil, errors.Wrap(world.ErrBroken, "reply meta")
 	}
 	if world.RequestID(meta.GetRequestId()) != id {
-		return nil, errors.Wrap(node.ErrBroken, "reply belongs to another request")
+		return nil, errors.Wrap(world.ErrBroken, "reply belongs to another request")
 	}
-	resp.Header.Del(headerReply)
+	header.Del(headerReply)
 	return &world.Reply{
-		Status:     resp.StatusCode,
-		Header:     resp.Header,
+		Status:     status,
+		Header:     header,
 		Body:       body,
 		Code:       world.Code(meta.GetCode()),
 		Run:        world.Run(meta.GetRun()),
@@ -229,6 +244,22 @@
 func sameSecret(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
 
 func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (*world.Call, error) {
+	c, err := callOf(r, s.clock)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "call body")
+	}
+	r.Header.Del(headerSecret)
+	c.Path = r.URL.RequestURI()
+	c.Body = body
+	return c, nil
+}
+
+// callOf reads a forwarded call but for its body.
+func callOf(r *http.Request, clock timer.Service) (*world.Call, error) {
 	raw, err := base64.StdEncoding.DecodeString(r.Header.Get(headerCall))
 	if err != nil {
 		return nil, errors.Wrap(err, "call meta")
@@ -237,33 +268,45 @@
 	if err := proto.Unmarshal(raw, meta); err != nil {
 		return nil, errors.Wrap(err, "call meta")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	if err != nil {
-		return nil, errors.Wrap(err, "call body")
-	}
 	r.Header.Del(headerCall)
-	r.Header.Del(headerSecret)
-	return &world.Call{
+	now := clock.Now()
+	c := &world.Call{
 		ID:          world.RequestID(meta.GetRequestId()),
 		Customer:    world.CustomerID(meta.GetCustomer()),
 		Service:     world.ServiceID(meta.GetService()),
 		Route:       world.RouteID(meta.GetRoute()),
 		Importance:  world.Importance(meta.GetImportance()),
-		Deadline:    s.clock.Now() + time.Duration(meta.GetRemainingUs())*time.Microsecond,
+		Deadline:    now + time.Duration(meta.GetRemainingUs())*time.Microsecond,
 		Budget:      int(meta.GetBudget()),
 		Idempotent:  meta.GetIdempotent(),
 		Key:         meta.GetKey(),
 		Home:        world.DomainID(meta.GetHome()),
 		Epoch:       world.Epoch(meta.GetEpoch()),
 		Fingerprint: meta.GetFingerprint(),
+		Host:        meta.GetHost(),
+		Caller:      world.ServiceID(meta.GetCaller()),
+		Rank:        world.Rank(meta.GetRank()),
 		Method:      r.Method,
-		Path:        r.URL.RequestURI(),
 		Header:      r.Header,
-		Body:        body,
-	}, nil
+	}
+	if left := meta.GetTargetUs(); left != 0 {
+		c.Target = now + time.Duration(left)*time.Microsecond
+	}
+	return c, nil
 }
 
 func writeReply(w http.ResponseWriter, id world.RequestID, r *world.Reply) {
+	if err := dressReply(w.Header(), id, r); err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.Body)
+}
+
+// dressReply sets the headers of a reply, with what the node tells about it.
+func dressReply(h http.Header, id world.RequestID, r *world.Reply) error {
 	meta, err := proto.Marshal(&wire.ReplyMeta{
 		RequestId:    string(id),
 		Code:         string(r.Code),
@@ -277,15 +320,11 @@
 		Final:        r.Final,
 	})
 	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+		return errors.Wrap(err, "reply meta")
 	}
-	h := w.Header()
 	for name, values := range r.Header {
 		h[name] = values
 	}
 	h.Set(headerReply, base64.StdEncoding.EncodeToString(meta))
-	h.Set("Content-Length", strconv.Itoa(len(r.Body)))
-	w.WriteHeader(r.Status)
-	_, _ = w.Write(r.Body)
+	return nil
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"wagtailyoke/core/node"
 	"wagtailyoke/core/timer"
 	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
@@ -86,7 +85,7 @@
 			_, err := roundTrip(c, transport, method, address, body)
 			c.Assert(err, qt.IsNil)
 			_, err = roundTrip(c, transport, method, address, body)
-			c.Assert(errors.Is(err, node.ErrBroken), qt.IsTrue, qt.Commentf("%s %q: %v", method, body, err))
+			c.Assert(errors.Is(err, world.ErrBroken), qt.IsTrue, qt.Commentf("%s %q: %v", method, body, err))
 			c.Assert(requests.Load(), qt.Equals, int64(2), qt.Commentf("%s %q", method, body))
 		}
 	}
@@ -108,7 +107,7 @@
 		peer.SetBody(req, nil)
 		conn := &closingTransport{l}
 		peer.RoundTrip(conn, req, func(_ *http.Response, _ []byte, err error) { results <- err })
-		c.Assert(errors.Is(<-results, node.ErrBroken), qt.IsTrue, qt.Commentf("%q", answer))
+		c.Assert(errors.Is(<-results, world.ErrBroken), qt.IsTrue, qt.Commentf("%q", answer))
 	}
 }
 
@@ -128,7 +127,7 @@
 	address := l.Addr().String()
 	c.Assert(l.Close(), qt.IsNil)
 	_, err = roundTrip(c, peer.NewTransport(1), http.MethodGet, address, nil)
-	c.Assert(errors.Is(err, node.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, world.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
 }
 
 // TestCrossedReply: an answer that belongs to another request is an error.
@@ -142,7 +141,7 @@
 	failures := make(chan error, 1)
 	call := &world.Call{ID: "r1", Method: http.MethodGet, Path: "/"}
 	links.Forward(world.Address(address), call, func(_ *world.Reply, err error) { failures <- err })
-	c.Assert(errors.Is(<-failures, node.ErrBroken), qt.IsTrue)
+	c.Assert(errors.Is(<-failures, world.ErrBroken), qt.IsTrue)
 }
 
 // echo is a node that answers calls with their facts.
--- /dev/null
+++ b/io/proc/sidecar.go
@@ -0,0 +1,276 @@
+package proc
+
+import (
+	"bytes"
+	"context"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/invar"
+	"wagtailyoke/core/mesh"
+	"wagtailyoke/core/share"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
+	"wagtailyoke/io/body"
+	"wagtailyoke/io/conf"
+	"wagtailyoke/io/hops"
+	"wagtailyoke/io/httpx"
+	"wagtailyoke/io/logs"
+	"wagtailyoke/io/meter"
+	"wagtailyoke/io/peer"
+	"wagtailyoke/platform"
+)
+
+// Settings of a sidecar's connections.
+const (
+	// upstreamDial bounds a connection to the upstream, which is on the same VM.
+	upstreamDial = 300 * time.Millisecond
+	// upstreamSilence is how long sent bytes may stay unacknowledged by the upstream.
+	upstreamSilence = time.Second
+	// upstreamIdle is how long an unused connection is kept where the upstream does
+	// not say how long it keeps it.
+	upstreamIdle    = 8 * time.Second
+	upstreamPerAddr = 256
+	// storeTimeout bounds a call to the platform's store that waits for nothing.
+	storeTimeout = 1500 * time.Millisecond
+	sweepPeriod  = 2 * time.Second
+	// clientSilence is how long sent bytes may stay unacknowledged by a caller.
+	clientSilence = 5 * time.Second
+	// memoryShare is the share of the process's memory from which the collector works
+	// harder.
+	memoryShare = 0.6
+	// shutdownMargin is how long listeners have to close after the node has stopped.
+	shutdownMargin = 300 * time.Millisecond
+)
+
+// RunSidecar starts a node of a mesh, waits for the context's end and stops it gracefully.
+func RunSidecar(ctx context.Context, file string, s *conf.Sidecar) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMb<<20) * memoryShare))
+	grace := time.Duration(s.Stop.GraceSeconds * float64(time.Second))
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(s, settingsFile(file)),
+		fx.Provide(timer.NewReal, newSidecarLog, newMeter, newChecker, newMeshLinks, newStore, newUpstream, newMesh),
+		fx.Invoke(serveSidecar),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(grace),
+	)
+	if err := app.Err(); err != nil {
+		return errors.Wrap(err, "sidecar")
+	}
+	startCtx, cancelStart := context.WithTimeout(ctx, startTimeout)
+	defer cancelStart()
+	if err := app.Start(startCtx); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	<-ctx.Done()
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), grace)
+	defer cancelStop()
+	return errors.Wrap(app.Stop(stopCtx), "stop")
+}
+
+type settingsFile string
+
+func newSidecarLog(s *conf.Sidecar) event.Log { return logs.New(os.Stdout, s.Node.Name) }
+
+func newMeshLinks(lc fx.Lifecycle, clock timer.Service) *peer.MeshLinks {
+	links := peer.NewMeshLinks(clock)
+	lc.Append(fx.StopHook(links.Close))
+	return links
+}
+
+func newStore(s *conf.Sidecar) *platform.Store {
+	return platform.NewStore(s.Platform.Address, storeTimeout)
+}
+
+// upstreamClient is the client of the upstream with its connections.
+type upstreamClient struct {
+	*platform.Upstream
+	pool *hops.Pool
+}
+
+func newUpstream(s *conf.Sidecar, clock timer.Service) *upstreamClient {
+	pool := hops.New(hops.Options{
+		Dial:           upstreamDial,
+		Idle:           upstreamIdle,
+		IdlePerAddress: upstreamPerAddr,
+		Silence:        upstreamSilence,
+		Whole:          body.WholeBytes,
+		Matches:        platform.AnswersCall,
+	})
+	return &upstreamClient{Upstream: platform.NewUpstream(s.Upstream.Address, clock, pool), pool: pool}
+}
+
+func newMesh(s *conf.Sidecar, clock timer.Service, links *peer.MeshLinks, u *upstreamClient, objects *platform.Store, l event.Log, m *meter.Meter, checks *invar.Checker) *mesh.Node {
+	return mesh.New(mesh.Dependencies{
+		Info: mesh.Info{
+			Name:     world.NodeID(s.Node.Name),
+			Domain:   world.DomainID(s.Node.Domain),
+			Service:  world.ServiceID(s.Node.Service),
+			Peer:     world.Address(s.Listen.Peer),
+			Upstream: world.Address(s.Upstream.Address),
+			Started:  clock.Wall(),
+		},
+		Options: mesh.Options{
+			RetryRatio:  s.Retry.Ratio,
+			RetrySlack:  s.Retry.Slack,
+			RetryWindow: time.Duration(s.Retry.WindowSeconds * float64(time.Second)),
+			Quota: share.Tolerance{
+				Window:  time.Duration(s.Quota.WindowSeconds * float64(time.Second)),
+				Overage: s.Quota.Overage,
+				Slack:   s.Quota.Slack,
+			},
+			Grace: time.Duration(s.Stop.GraceSeconds * float64(time.Second)),
+		},
+		Clock:    clock,
+		Random:   rand.New(rand.NewSource(seed())),
+		Links:    links,
+		Upstream: u,
+		Objects:  objects,
+		Decode:   platform.DecodeTable,
+		Metrics:  m,
+		Events:   l,
+		Checks:   checks,
+	})
+}
+
+// listen binds a socket whose connections find a silent other side.
+func listen(key, address string, silence time.Duration) (net.Listener, error) {
+	lc := net.ListenConfig{
+		KeepAliveConfig: hops.KeepAlive(),
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return hops.SetSilence(raw, silence)
+		},
+	}
+	l, err := lc.Listen(context.Background(), "tcp", address)
+	return l, errors.Wrapf(err, "listen.%s: choose an address of this VM that is free", key)
+}
+
+// sidecarListeners are the bound sockets.
+type sidecarListeners struct {
+	calls, peer, ready, heartbeats, metrics net.Listener
+}
+
+func bindSidecar(s *conf.Sidecar) (*sidecarListeners, error) {
+	l := &sidecarListeners{}
+	for _, want := range []struct {
+		into    *net.Listener
+		key     string
+		address string
+	}{
+		{&l.calls, "calls", s.Listen.Calls},
+		{&l.peer, "peer", s.Listen.Peer},
+		{&l.ready, "ready", s.Listen.Ready},
+		{&l.heartbeats, "heartbeats", s.Listen.Heartbeats},
+		{&l.metrics, "metrics", s.Listen.Metrics},
+	} {
+		bound, err := listen(want.key, want.address, clientSilence)
+		if err != nil {
+			return nil, err
+		}
+		*want.into = bound
+	}
+	return l, nil
+}
+
+// serveSidecar starts the listeners and the node, and stops them in the order that cuts
+// no call: the node first, which lets its calls finish, then the listeners.
+func serveSidecar(lc fx.Lifecycle, s *conf.Sidecar, file settingsFile, n *mesh.Node, links *peer.MeshLinks, u *upstreamClient, objects *platform.Store, m *meter.Meter, clock timer.Service, l event.Log) error {
+	bound, err := bindSidecar(s)
+	if err != nil {
+		return err
+	}
+	calls := newServer(httpx.NewMeshFront(n, platform.Dialect{}))
+	ready := newServer(platform.NewReady(n.IsReady))
+	heartbeats := newServer(platform.NewHeartbeats(n, l))
+	metrics := newServer(m.Handler())
+	watch := &reloader{file: string(file), apply: func(next *conf.Sidecar) { objects.Move(next.Platform.Address) }, log: l}
+	var peers *peer.MeshServer
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for server, listener := range map[*http.Server]net.Listener{calls: bound.calls, ready: bound.ready, heartbeats: bound.heartbeats, metrics: bound.metrics} {
+				go func() { _ = server.Serve(listener) }()
+			}
+			var err error
+			peers, err = peer.ListenMesh(bound.peer, clock, n)
+			timer.Every(clock, sweepPeriod, func() {
+				u.pool.Sweep()
+				links.Sweep()
+			})
+			watch.start(clock)
+			n.Start()
+			return err
+		},
+		OnStop: func(ctx context.Context) error {
+			idle := make(chan struct{})
+			n.Stop(func() { close(idle) })
+			select {
+			case <-idle:
+			case <-ctx.Done():
+			}
+			closing, cancel := context.WithTimeout(context.Background(), shutdownMargin)
+			defer cancel()
+			err := shutdown(closing, calls, peers, ready, heartbeats, metrics)
+			if errors.Is(err, context.DeadlineExceeded) {
+				// Only connections without a call are left: the node has none.
+				return nil
+			}
+			return err
+		},
+	})
+	return nil
+}
+
+// reloader applies the settings file again when it changes.
+type reloader struct {
+	file  string
+	apply func(*conf.Sidecar)
+	log   event.Log
+
+	mu   sync.Mutex
+	text []byte
+}
+
+// reloadPeriod is how often the settings file is read: it may change without a signal.
+const reloadPeriod = time.Second
+
+func (r *reloader) start(clock timer.Service) {
+	r.text, _ = os.ReadFile(r.file)
+	timer.Every(clock, reloadPeriod, r.look)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			r.look()
+		}
+	}()
+}
+
+func (r *reloader) look() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text, err := os.ReadFile(r.file)
+	if err != nil || bytes.Equal(text, r.text) {
+		return
+	}
+	r.text = text
+	s, err := conf.ParseSidecar(r.file, text)
+	if err != nil {
+		r.log.Log(event.SettingsRejected, event.Field{Name: "error", Value: err.Error()})
+		return
+	}
+	r.apply(s)
+	r.log.Log(event.SettingsReloaded, event.Field{Name: "file", Value: r.file})
+}
