--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -230,7 +230,7 @@
 			peers = append(peers, share.Peer{
 				Node:      world.NodeID(r.GetNode()),
 				Demands:   r.GetDemands(),
-				IsSilent:  node.IsSilent,
+				Age:       node.Age,
 				IsLeaving: r.GetStopping(),
 			})
 		}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -14,9 +14,9 @@
 // One pool keeps the burst whole: split over the nodes beforehand, a small customer would
 // find its token at another node more often than not.
 //
-// When nodes lose each other, each side goes on with the part of the rate that its nodes'
-// demand had in the whole: the pools on both sides add up to one rate. A node that does
-// not reach a home earns its own part alone.
+// When nodes lose each other, each side goes on with the part of the rate that its nodes
+// have in the fleet: the pools on both sides add up to one rate. A node that does not
+// reach a home earns its own part alone.
 package share
 
 import (
@@ -39,9 +39,18 @@
 	// evenPart is the part of a rate that is split evenly over the nodes whatever their
 	// demand, so that a node finds something when its first request comes.
 	evenPart = 0.05
-	// tolerancePart is the part of the tolerance that is used: the rest covers what two
-	// homes grant while nodes disagree about which one it is.
-	tolerancePart = 0.5
+	// overagePart and slackPart are the parts of the tolerance that are used: the rest
+	// covers what both sides of a cut admit until they notice it.
+	overagePart = 0.3
+	slackPart   = 0.25
+	// liveTime is the age of the last news of a node from which its part of the rate
+	// counts as spent by itself: longer than news takes to spread.
+	liveTime = 800 * time.Millisecond
+	// homeTime is the age from which a node is no home any more. It is longer, since a
+	// new home starts with an empty pool.
+	homeTime = 1250 * time.Millisecond
+	// mostAlone is the number of tokens that a node without a home saves up.
+	mostAlone = 1
 	// askTimeout bounds the wait for the home: longer than a way between failure
 	// domains and back, far shorter than any deadline.
 	askTimeout = 80 * time.Millisecond
@@ -74,8 +83,8 @@
 type Peer struct {
 	Node    world.NodeID
 	Demands []*wire.Demand
-	// IsSilent means that the node was not heard of for a while.
-	IsSilent bool
+	// Age is how long ago the node was last heard of.
+	Age time.Duration
 	// IsLeaving means that the node keeps no pools from now on.
 	IsLeaving bool
 }
@@ -121,6 +130,10 @@
 	pool bucket
 	// alone is spent from while no home answers.
 	alone bucket
+	// owed counts what was spent so before the home could notice that the node is away;
+	// it is taken from the pool later. reached is when a home last answered.
+	owed    int
+	reached time.Duration
 	// stock holds granted tokens until an instant.
 	stock      int
 	stockUntil time.Duration
@@ -178,17 +191,17 @@
 
 // stretch returns rate and burst with the used part of the tolerance.
 func (g *Gate) stretch(c *table.Customer) (rate, burst float64, isLimited bool) {
-	factor := 1 + tolerancePart*g.tolerance.Overage
+	factor := 1 + overagePart*g.tolerance.Overage
 	rate, burst = c.Rate*factor, c.Burst*factor
 	if g.tolerance.Window > 0 {
-		rate += tolerancePart * g.tolerance.Slack / g.tolerance.Window.Seconds()
+		rate += slackPart * g.tolerance.Slack / g.tolerance.Window.Seconds()
 	}
 	return rate, burst, c.IsLimited()
 }
 
 func (a *account) earnLocked(now time.Duration) {
 	a.pool.earn(now, a.rate*a.live, a.burst*a.live)
-	a.alone.earn(now, a.rate*a.own, a.burst*a.own)
+	a.alone.earn(now, a.rate*a.own, mostAlone)
 }
 
 // SetPeers takes in the other nodes. One that is not among them any more is gone, and
@@ -228,36 +241,49 @@
 	g.divideLocked(now)
 }
 
-// divideLocked computes each customer's parts and home.
+// divideLocked computes each customer's parts and home. While all nodes hear of each
+// other, the own part goes by demand. When some do not, all go by the number of nodes:
+// what each side of a cut knows of the other's demand differs, and parts of different
+// knowledge would add up to more than the whole.
 func (g *Gate) divideLocked(now time.Duration) {
 	nodes := float64(len(g.peers) + 1)
-	for id, a := range g.customers {
+	away := 0.0
+	for _, p := range g.peers {
+		if p.Age >= liveTime {
+			away++
+		}
+	}
+	for _, a := range g.customers {
 		if !a.isLimited {
 			continue
 		}
 		a.earnLocked(now)
-		// The even share counts as demand that every node has.
-		even := evenPart*a.rate/nodes + 1e-9
-		own := a.demand + even
-		live, sum := own, own
-		for _, p := range g.peers {
-			rate := p.rates[id] + even
-			sum += rate
-			if !p.IsSilent {
-				live += rate
-			}
+		a.own, a.live = 1/nodes, (nodes-away)/nodes
+		if away == 0 {
+			a.own = g.ownPartLocked(a)
 		}
-		a.own, a.live = own/sum, live/sum
 		g.moveHomeLocked(a)
 	}
 }
 
+// ownPartLocked is the part that the own demand has in that of all nodes.
+func (g *Gate) ownPartLocked(a *account) float64 {
+	// The even share counts as demand that every node has.
+	even := evenPart*a.rate/float64(len(g.peers)+1) + 1e-9
+	own := a.demand + even
+	sum := own
+	for _, p := range g.peers {
+		sum += p.rates[a.id] + even
+	}
+	return own / sum
+}
+
 // moveHomeLocked finds the customer's home among the nodes in reach. A node that becomes
 // the home starts with an empty pool: the last one may have granted the rest.
 func (g *Gate) moveHomeLocked(a *account) {
 	home, best := g.self, weigh(a.id, g.self)
 	for _, p := range g.peers {
-		if p.IsSilent || p.IsLeaving {
+		if p.Age >= homeTime || p.IsLeaving {
 			continue
 		}
 		if w := weigh(a.id, p.Node); w > best {
@@ -325,14 +351,23 @@
 		a.stock--
 		return true, 0, true
 	case now < g.lost[a.home]:
-		a.earnLocked(now)
-		ok, wait = a.alone.spend(a.rate * a.own)
+		ok, wait = a.spendAlone(now)
 		return ok, wait, true
 	default:
 		return false, 0, false
 	}
 }
 
+// spendAlone spends of the node's own part of the rate.
+func (a *account) spendAlone(now time.Duration) (ok bool, wait time.Duration) {
+	a.earnLocked(now)
+	ok, wait = a.alone.spend(a.rate * a.own)
+	if ok && now-a.reached < liveTime {
+		a.owed++
+	}
+	return ok, wait
+}
+
 func (b *bucket) spend(rate float64) (ok bool, wait time.Duration) {
 	if b.tokens >= 1 {
 		b.tokens--
@@ -357,7 +392,7 @@
 	for id, a := range g.customers {
 		if a.home == home && len(a.waiting) > 0 {
 			asked[id], a.waiting = a.waiting, nil
-			req.Wants = append(req.Wants, &wire.TokenWant{Customer: string(id), Tokens: uint32(len(asked[id])), Demand: a.demand})
+			req.Wants = append(req.Wants, &wire.TokenWant{Customer: string(id), Tokens: uint32(len(asked[id])), Demand: a.demand, Owed: uint32(a.owed)})
 		}
 	}
 	if len(asked) == 0 {
@@ -371,16 +406,22 @@
 		if err != nil {
 			g.homeFailed(home, asked)
 		} else {
-			g.granted(asked, reply)
+			g.granted(asked, req, reply)
 		}
 		g.askHome(home)
 	})
 }
 
-func (g *Gate) granted(asked map[world.CustomerID][]*waiter, reply *wire.TokenReply) {
+func (g *Gate) granted(asked map[world.CustomerID][]*waiter, req *wire.TokenRequest, reply *wire.TokenReply) {
 	var run []func()
 	g.mu.Lock()
 	now := g.clock.Now()
+	for _, want := range req.GetWants() {
+		if a := g.customers[world.CustomerID(want.GetCustomer())]; a != nil {
+			a.owed = max(0, a.owed-int(want.GetOwed()))
+			a.reached = now
+		}
+	}
 	for _, grant := range reply.GetGrants() {
 		id := world.CustomerID(grant.GetCustomer())
 		tokens := int(grant.GetTokens())
@@ -418,8 +459,7 @@
 		for _, w := range waiters {
 			ok, wait := false, leastWait
 			if a != nil {
-				a.earnLocked(now)
-				ok, wait = a.alone.spend(a.rate * a.own)
+				ok, wait = a.spendAlone(now)
 			}
 			run = append(run, func() { w.done(ok, wait) })
 		}
@@ -448,7 +488,8 @@
 			b, rate = &a.alone, a.rate*a.own
 		}
 		grant := &wire.TokenGrant{Customer: want.GetCustomer()}
-		grant.Tokens = uint32(min(float64(want.GetTokens()), math.Floor(b.tokens)))
+		b.tokens = max(b.tokens-float64(want.GetOwed()), -a.burst)
+		grant.Tokens = uint32(min(float64(want.GetTokens()), math.Floor(max(0, b.tokens))))
 		b.tokens -= float64(grant.GetTokens())
 		if grant.GetTokens() < want.GetTokens() {
 			grant.WaitMs = b.wait(rate).Milliseconds()
--- /dev/null
+++ b/core/share/share_test.go
@@ -0,0 +1,212 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"wagtailyoke/core/share"
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+const customer = world.CustomerID("mill-7")
+
+var errLost = errors.New("no way to the home")
+
+// site is a fleet of gates that ask each other with a delay, cut into sides.
+type site struct {
+	clock *timer.Virtual
+	gates []*share.Gate
+	// side is the side of the cut that a node is on; told is what each node last heard
+	// of each other.
+	side []int
+	told [][]share.Peer
+	// heard is when a node last heard of another one.
+	heard [][]time.Duration
+	// admitted are the instants of all admitted requests.
+	admitted []time.Duration
+	refused  int
+}
+
+func name(i int) world.NodeID { return world.NodeID(fmt.Sprintf("n%02d", i)) }
+
+const (
+	hop    = 2 * time.Millisecond
+	period = 250 * time.Millisecond
+)
+
+func newSite(n int, c *table.Customer, tolerance share.Tolerance) *site {
+	s := &site{clock: timer.NewVirtual(), side: make([]int, n), told: make([][]share.Peer, n), heard: make([][]time.Duration, n)}
+	for i := range n {
+		s.told[i] = make([]share.Peer, n)
+		s.heard[i] = make([]time.Duration, n)
+		g := share.New(s.clock, name(i), tolerance, func(home world.NodeID, req *wire.TokenRequest, timeout time.Duration, done func(*wire.TokenReply, error)) {
+			s.carry(i, home, req, timeout, done)
+		})
+		g.Install([]*table.Customer{c})
+		s.gates = append(s.gates, g)
+	}
+	timer.Every(s.clock, period, s.spread)
+	return s
+}
+
+func (s *site) carry(from int, home world.NodeID, req *wire.TokenRequest, timeout time.Duration, done func(*wire.TokenReply, error)) {
+	for i := range s.gates {
+		if name(i) != home {
+			continue
+		}
+		if s.side[i] != s.side[from] {
+			s.clock.After(timeout, func() { done(nil, errLost) })
+			return
+		}
+		s.clock.After(hop, func() {
+			reply := s.gates[i].Grant(req)
+			s.clock.After(hop, func() { done(reply, nil) })
+		})
+	}
+}
+
+// spread tells each node what the others on its side are asked for.
+func (s *site) spread() {
+	now := s.clock.Now()
+	for i, g := range s.gates {
+		g.Measure()
+		var peers []share.Peer
+		for j, other := range s.gates {
+			if i == j {
+				continue
+			}
+			if s.side[i] == s.side[j] {
+				s.told[i][j] = share.Peer{Node: name(j), Demands: other.Demands()}
+				s.heard[i][j] = now
+			}
+			p := s.told[i][j]
+			p.Node = name(j)
+			p.Age = now - s.heard[i][j]
+			peers = append(peers, p)
+		}
+		g.SetPeers(peers)
+	}
+}
+
+func (s *site) offer(node int) {
+	s.gates[node].Take(customer, func(ok bool, _ time.Duration) {
+		if ok {
+			s.admitted = append(s.admitted, s.clock.Now())
+			return
+		}
+		s.refused++
+	})
+}
+
+// most returns the largest number of admissions in a window.
+func (s *site) most(window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range s.admitted {
+		for at-s.admitted[first] > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+var tolerance = share.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+func allowed(c *table.Customer) float64 {
+	return (c.Rate*5+c.Burst)*1.1 + 20
+}
+
+// TestSmallCustomerFindsItsTokens plays 0.95 of a small customer's rate, spread over many
+// nodes: one token would lie at each of them if the burst were split.
+func TestSmallCustomerFindsItsTokens(t *testing.T) {
+	c := qt.New(t)
+	small := &table.Customer{ID: customer, Rate: 12, Burst: 12}
+	s := newSite(12, small, tolerance)
+	s.clock.Run(5 * time.Second)
+	at := s.clock.Now()
+	offered := 0
+	for i := 0; at < 65*time.Second; i++ {
+		// Uneven gaps around the mean, from a fixed sequence.
+		at += time.Duration(float64(time.Second) / (12 * 0.95) * (0.2 + 1.6*float64((i*37)%100)/99))
+		s.clock.Run(at)
+		s.offer((i * 7) % 12)
+		offered++
+	}
+	s.clock.Run(at + time.Second)
+	c.Assert(float64(s.refused)/float64(offered) < 0.01, qt.IsTrue, qt.Commentf("%d of %d refused inside the rate", s.refused, offered))
+}
+
+// TestRateHoldsOverAllNodes plays customers of any size that offer up to eight times
+// their rate at moving nodes, through cuts at any moment.
+func TestRateHoldsOverAllNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(5, 120).Draw(t, "rate")
+		who := &table.Customer{ID: customer, Rate: rate, Burst: rate}
+		n := rapid.IntRange(2, 14).Draw(t, "nodes")
+		s := newSite(n, who, tolerance)
+		s.clock.Run(4 * time.Second)
+		factor := rapid.Float64Range(0.5, 8).Draw(t, "factor")
+		at := s.clock.Now()
+		nextCut := at + time.Duration(rapid.IntRange(500, 6000).Draw(t, "cutMs"))*time.Millisecond
+		cutFor := time.Duration(rapid.IntRange(500, 9000).Draw(t, "cutForMs")) * time.Millisecond
+		members := rapid.IntRange(1, n-1).Draw(t, "members")
+		hot := rapid.IntRange(0, n-1).Draw(t, "hot")
+		isCut := false
+		for i := 0; at < 24*time.Second; i++ {
+			at += time.Duration(float64(time.Second) / (rate * factor))
+			if !isCut && at >= nextCut && at < nextCut+cutFor {
+				isCut = true
+				for j := range members {
+					s.side[j] = 1
+				}
+			}
+			if isCut && at >= nextCut+cutFor {
+				isCut = false
+				clear(s.side)
+			}
+			s.clock.Run(at)
+			// Half of the requests go to one node.
+			node := hot
+			if i%2 == 0 {
+				node = (i * 5) % n
+			}
+			s.offer(node)
+		}
+		if got := s.most(5 * time.Second); float64(got) > allowed(who) {
+			t.Fatalf("%d requests in 5 s, allowed %.0f", got, allowed(who))
+		}
+	})
+}
+
+// TestCutSidesShareOneRate expects that both sides of a cut go on, and that neither is
+// given the whole rate.
+func TestCutSidesShareOneRate(t *testing.T) {
+	c := qt.New(t)
+	who := &table.Customer{ID: customer, Rate: 60, Burst: 60}
+	s := newSite(12, who, tolerance)
+	offerAll := func(until time.Duration) {
+		for i := 0; s.clock.Now() < until; i++ {
+			s.clock.Run(s.clock.Now() + time.Second/180)
+			s.offer(i % 12)
+		}
+	}
+	s.clock.Run(4 * time.Second)
+	offerAll(14 * time.Second)
+	for i := range 4 {
+		s.side[i] = 1
+	}
+	offerAll(17 * time.Second)
+	s.admitted = nil
+	offerAll(27 * time.Second)
+	rate := float64(len(s.admitted)) / 10
+	c.Assert(rate > 0.8*60, qt.IsTrue, qt.Commentf("%.1f a second while cut", rate))
+	c.Assert(rate < 1.1*60+4, qt.IsTrue, qt.Commentf("%.1f a second while cut", rate))
+}
--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -305,25 +305,28 @@
 	switch {
 	case length < 0:
 		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		return writeChunked(w, req)
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		return writeChunked(to, req)
 	case length > 0 || mayHaveBody(req.Method):
 		_, _ = w.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
 	_, _ = w.Write(req.Body)
-	if req.Rest != nil {
-		if _, err := io.Copy(w, req.Rest); err != nil {
-			return err
-		}
+	if err := w.Flush(); err != nil || req.Rest == nil {
+		return err
 	}
-	return w.Flush()
+	// Past the buffer, so that nothing waits in it while the caller is slow.
+	_, err := io.Copy(to, req.Rest)
+	return err
 }
 
 func mayHaveBody(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-func writeChunked(w *bufio.Writer, req *Request) error {
+func writeChunked(w io.Writer, req *Request) error {
 	chunks := httputil.NewChunkedWriter(w)
 	if len(req.Body) > 0 {
 		if _, err := chunks.Write(req.Body); err != nil {
@@ -336,8 +339,8 @@
 	if err := chunks.Close(); err != nil {
 		return err
 	}
-	_, _ = w.WriteString("\r\n")
-	return w.Flush()
+	_, err := io.WriteString(w, "\r\n")
+	return err
 }
 
 // readHead reads the head of the answer. An upstream may send an answer twice; the second
