Refuse at the entry by the level below; order calls by what they serve

Calls between services had no order, so reservations lost theirs to views.

Change: grades by customer, then route. A call of the own upstream finds the run that it is made for by its deadline, or by a limit of its own that is learned; it takes the run's grade and brings the level below back. The level follows waiting in line, is the mean over a service's endpoints, and falls fast once slots are free. Callers that come back go ahead. A run whose call failed is not repeated.

--- a/core/admit/line.go
+++ b/core/admit/line.go
@@ -13,8 +13,8 @@
 // Start and Drop is called, once, without locks held, unless the waiter is cancelled.
 type Waiter struct {
 	Route world.RouteID
-	// Class orders waiters: the lowest starts first.
-	Class    int
+	// Grade orders waiters: the highest starts first.
+	Grade    world.Grade
 	Deadline time.Duration
 	Start    func()
 	Drop     func(world.Code)
@@ -35,6 +35,8 @@
 	// defaultMaxWait is the longest time in line: callers that are refused sooner can
 	// still be served elsewhere.
 	defaultMaxWait = 400 * time.Millisecond
+	// fullShare is the part of the slots in use from which an upstream counts as full.
+	fullShare = 0.9
 	// tookWeight is the weight of a new sample in the usual time of a route.
 	tookWeight = 0.05
 	// tookDefault is the time that a call is taken to need before any has ended.
@@ -49,6 +51,8 @@
 	clock   timer.Service
 	options LineOptions
 
+	level *Throttle
+
 	mu      sync.Mutex
 	limit   int
 	running int
@@ -64,7 +68,7 @@
 	if options.MaxWait == 0 {
 		options.MaxWait = defaultMaxWait
 	}
-	return &Line{clock: clock, options: options, limit: max(limit, 1), took: map[world.RouteID]float64{}, mean: tookDefault.Seconds()}
+	return &Line{clock: clock, options: options, level: NewThrottle(clock), limit: max(limit, 1), took: map[world.RouteID]float64{}, mean: tookDefault.Seconds()}
 }
 
 // SetLimit changes the number of slots.
@@ -83,6 +87,23 @@
 	return l.running, len(l.waiting), l.limit
 }
 
+// SetGrades sets the number of grades of waiters.
+func (l *Line) SetGrades(n int) { l.level.SetGrades(n) }
+
+// Level returns the admission level, see Throttle.
+func (l *Line) Level() float64 { return l.level.Value() }
+
+// Shed counts a call that the upstream refused itself. An upstream that refuses calls
+// while it has room is faulty, which fewer calls would not mend.
+func (l *Line) Shed() {
+	l.mu.Lock()
+	isFull := float64(l.running) >= fullShare*float64(l.limit)
+	l.mu.Unlock()
+	if isFull {
+		l.level.Shed()
+	}
+}
+
 // Enter starts a call, puts it in line or drops it.
 func (l *Line) Enter(w *Waiter) {
 	l.mu.Lock()
@@ -98,12 +119,13 @@
 	if l.waitLocked(w) > patience {
 		w.state = ticketGone
 		l.mu.Unlock()
+		l.level.Shed()
 		w.Drop(world.CodeQueueFull)
 		return
 	}
 	w.state = ticketQueued
 	w.stop = l.clock.After(patience, func() { l.expire(w) })
-	at := sort.Search(len(l.waiting), func(i int) bool { return l.waiting[i].Class > w.Class })
+	at := sort.Search(len(l.waiting), func(i int) bool { return l.waiting[i].Grade < w.Grade })
 	l.waiting = append(l.waiting, nil)
 	copy(l.waiting[at+1:], l.waiting[at:])
 	l.waiting[at] = w
@@ -112,7 +134,7 @@
 
 // waitLocked estimates how long a new call would wait.
 func (l *Line) waitLocked(w *Waiter) time.Duration {
-	ahead := sort.Search(len(l.waiting), func(i int) bool { return l.waiting[i].Class > w.Class })
+	ahead := sort.Search(len(l.waiting), func(i int) bool { return l.waiting[i].Grade < w.Grade })
 	seconds := float64(ahead+1) * l.mean / float64(l.limit)
 	return time.Duration(seconds * float64(time.Second))
 }
@@ -129,6 +151,7 @@
 	w.state = ticketRunning
 	w.started = l.clock.Now()
 	l.running++
+	l.level.Waited(w.started-w.entered, float64(l.running)/float64(l.limit))
 }
 
 func (l *Line) collectLocked() []*Waiter {
@@ -169,6 +192,7 @@
 	removed := l.removeLocked(w)
 	l.mu.Unlock()
 	if removed {
+		l.level.Shed()
 		w.Drop(world.CodeQueueTimeout)
 	}
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -39,6 +39,7 @@
 	Failed            Number = 501
 	Retried           Number = 502
 	Cancelled         Number = 503
+	PressureShed      Number = 504
 	LineDropped       Number = 510
 	LinesOmitted      Number = 800
 	LinesLost         Number = 801
@@ -75,6 +76,7 @@
 	Failed:            "a request failed; it may have run",
 	Retried:           "a request is sent to another endpoint",
 	Cancelled:         "a request was given up, since its caller has gone",
+	PressureShed:      "a request is refused at the entry, since it would be shed deeper",
 	LineDropped:       "a call was not let into the upstream",
 	LinesOmitted:      "lines of an event were left out to keep its budget",
 	LinesLost:         "lines were lost, since the log's reader was too slow",
--- a/core/mesh/flight.go
+++ b/core/mesh/flight.go
@@ -23,6 +23,8 @@
 
 	mu   sync.Mutex
 	over bool
+	// parent is the run of the own upstream that makes the call, if it is known.
+	parent *run
 	// tried are the nodes that were asked, reached counts those whose upstream may
 	// have seen the request.
 	tried   []world.NodeID
@@ -46,7 +48,15 @@
 	answerMargin = 5 * time.Millisecond
 )
 
-func (n *Node) newFlight(in Incoming, route *table.Route, customer *table.Customer, done func(*world.Reply)) *flight {
+// adopt makes the call a part of the run that it is made for: it is as important as the
+// request that the run serves.
+func (f *flight) adopt(parent *run) {
+	f.parent = parent
+	f.call.Grade = parent.call.Grade
+	f.call.Customer = ""
+}
+
+func (n *Node) newFlight(t *installed, in Incoming, route *table.Route, customer *table.Customer, done func(*world.Reply)) *flight {
 	now := n.Clock.Now()
 	wait := route.Timeout
 	if in.Wait > 0 {
@@ -56,7 +66,7 @@
 	c := &f.call
 	c.Route = route.ID
 	c.Idempotent = route.Idempotent
-	c.Rank = route.Rank
+	c.Grade = t.GradeOf(route, customer)
 	c.Deadline = now + wait
 	c.Caller = n.callerService()
 	if route.Target > 0 {
@@ -64,9 +74,6 @@
 	}
 	if customer != nil {
 		c.Customer = customer.ID
-		if customer.HasRank {
-			c.Rank = customer.Rank
-		}
 	}
 	n.splitMu.Lock()
 	c.Service = n.splitter.Next(route, n.draw)
@@ -157,6 +164,7 @@
 	}
 	f.mu.Unlock()
 	f.n.picker.Done(target.Node, f.outcome(sent, r, isOver))
+	f.noteLevel(r)
 	if isOver {
 		closeRest(r)
 		return
@@ -171,6 +179,16 @@
 	f.finish(f.final(r))
 }
 
+// noteLevel takes in the admission level below. A call of the own upstream adds it to the
+// run that makes the call; so it reaches the node where the whole request began.
+func (f *flight) noteLevel(r *world.Reply) {
+	if f.parent != nil {
+		f.parent.noteChild(r)
+		return
+	}
+	f.n.pressure.Report(f.call.Route, r.Level)
+}
+
 func closeRest(r *world.Reply) {
 	if r.Rest != nil {
 		_ = r.Rest.Close()
--- a/core/mesh/follow.go
+++ b/core/mesh/follow.go
@@ -78,8 +78,10 @@
 	listed    func([]Object)
 	changed   func(Object)
 	confirmed func()
-	isNeeded  func() bool
-	wait      time.Duration
+	// isBack is called when the store answers again, if set.
+	isBack   func()
+	isNeeded func() bool
+	wait     time.Duration
 
 	hasListed bool
 	revision  uint64
@@ -141,8 +143,11 @@
 func (f *follower) succeeded() {
 	if f.failures > 0 {
 		f.n.Events.Log(event.PlatformBack, event.Field{Name: "kind", Value: f.kind.String()}, event.Field{Name: "failures", Value: f.failures})
+		f.failures = 0
+		if f.isBack != nil {
+			f.isBack()
+		}
 	}
-	f.failures = 0
 }
 
 func (f *follower) retry(err error) {
@@ -170,6 +175,7 @@
 		}
 	}
 	f.confirmed = func() { n.confirmTable(0) }
+	f.isBack = n.relistNodes
 	f.step()
 }
 
@@ -199,6 +205,16 @@
 	f.step()
 }
 
+// relistNodes reads the entries anew after an outage: a watch from before it may tell
+// nothing for a while yet, and entries may be gone.
+func (n *Node) relistNodes() {
+	n.Objects.List(KindNode, func(objects []Object, _ uint64, err error) {
+		if err == nil {
+			n.entry.listed(objects)
+		}
+	})
+}
+
 func (n *Node) isOver() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -134,6 +134,9 @@
 	gate     *share.Gate
 	picker   *place.Picker
 	line     *admit.Line
+	pressure *admit.Pressure
+	returns  *admit.Returns
+	active   active
 	budgets  *retry.Allowances
 	upstream upstreams
 	news     spread
@@ -150,6 +153,8 @@
 	stopping bool
 	stopped  func()
 	isEnded  bool
+	// others is of the admission levels of the service's other endpoints.
+	others levels
 	// tableSeen is when the routing table was last known to be the newest.
 	tableSeen time.Duration
 	stops     []timer.Stop
@@ -172,6 +177,8 @@
 		Dependencies: d,
 		picker:       place.New(d.Clock, rand.New(rand.NewSource(d.Random.Int63())), d.Info.Domain, d.Info.Name),
 		line:         admit.NewLine(d.Clock, 1, admit.LineOptions{}),
+		pressure:     admit.NewPressure(d.Clock),
+		returns:      admit.NewReturns(d.Clock),
 		budgets:      retry.NewAllowances(d.Clock, d.Options.RetryRatio, d.Options.RetrySlack, d.Options.RetryWindow),
 		splitter:     table.NewSplitter(),
 	}
--- a/core/mesh/run.go
+++ b/core/mesh/run.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -24,6 +25,13 @@
 	started  bool
 	cancelUp func()
 	deadline timer.Stop
+	// begun is when the call went to the upstream, expiry when the upstream takes its
+	// time for over.
+	begun, expiry time.Duration
+	// childLevel is the highest admission level below, childFailed means that a call
+	// of this run failed.
+	childLevel  float64
+	childFailed bool
 }
 
 // ServePeer takes a call that another node forwards to this VM's upstream.
@@ -43,7 +51,7 @@
 	}
 	r.waiter = &admit.Waiter{
 		Route:    c.Route,
-		Class:    int(c.Rank),
+		Grade:    c.Grade,
 		Deadline: c.Deadline,
 		Start:    r.start,
 		Drop:     r.drop,
@@ -55,7 +63,7 @@
 func (r *run) drop(code world.Code) {
 	running, waiting, limit := r.n.line.Counts()
 	r.n.Events.Log(event.LineDropped, event.Field{Name: "id", Value: r.call.ID}, event.Field{Name: "route", Value: r.call.Route},
-		event.Field{Name: "code", Value: code}, event.Field{Name: "running", Value: running},
+		event.Field{Name: "code", Value: code}, event.Field{Name: "grade", Value: r.call.Grade}, event.Field{Name: "running", Value: running},
 		event.Field{Name: "waiting", Value: waiting}, event.Field{Name: "limit", Value: limit})
 	r.finish(world.Refuse(http.StatusServiceUnavailable, code, world.RunNo, 0))
 }
@@ -81,8 +89,11 @@
 		return
 	}
 	r.started = true
+	r.begun = n.Clock.Now()
+	r.expiry = r.begun + left.Truncate(time.Millisecond)
 	r.deadline = n.Clock.After(left, r.expire)
 	r.mu.Unlock()
+	n.active.add(r)
 	cancel := n.Upstream.Do(r.call, instance, func(reply *world.Reply, err error) { r.answered(instance, reply, err) })
 	r.mu.Lock()
 	r.cancelUp = cancel
@@ -108,6 +119,9 @@
 	if reply.Code == world.CodeStaleInstance {
 		r.n.upstream.gone(instance)
 	}
+	if reply.Code == world.CodeUpstreamShed {
+		r.n.line.Shed()
+	}
 	r.end(reply, reply.IsSuccess())
 }
 
@@ -155,6 +169,7 @@
 	if cancel != nil && reply.Rest == nil {
 		cancel()
 	}
+	r.n.active.remove(r)
 	r.n.line.Leave(r.waiter, isSample)
 	r.deliver(reply)
 }
@@ -175,6 +190,12 @@
 	n := r.n
 	running, waiting, limit := n.line.Counts()
 	reply.Load, reply.Limit = running+waiting, limit
+	level := n.serviceLevel()
+	r.mu.Lock()
+	reply.Level = max(r.childLevel, level)
+	// Another run would fail for the same reason, after the same work.
+	reply.Final = reply.Final || r.childFailed && !reply.IsSuccess()
+	r.mu.Unlock()
 	_, code := n.upstream.current(r.call.Service)
 	reply.Draining = reply.Draining || code != world.CodeNone
 	r.done(reply)
--- a/core/mesh/serve.go
+++ b/core/mesh/serve.go
@@ -1,9 +1,12 @@
 package mesh
 
 import (
+	"hash/fnv"
+	"io"
 	"net/http"
 	"time"
 
+	"wagtailyoke/core/admit"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/table"
 	"wagtailyoke/core/world"
@@ -48,7 +51,18 @@
 	if !ok {
 		return n.refuse(in, done, http.StatusUnauthorized, world.CodeUnknownKey, 0)
 	}
-	f := n.newFlight(in, route, customer, done)
+	f := n.newFlight(t, in, route, customer, done)
+	if customer == nil && t.HasCustomers() {
+		if parent := n.active.parentOf(route.ID, n.Clock.Now()+in.Wait); parent != nil {
+			f.adopt(parent)
+		}
+		f.begin()
+		return f.cancel
+	}
+	if n.isOverloaded(f) {
+		f.finish(world.Refuse(http.StatusServiceUnavailable, world.CodePressure, world.RunNo, n.comeBack()))
+		return func() {}
+	}
 	if customer == nil {
 		f.begin()
 		return f.cancel
@@ -64,6 +78,40 @@
 	return f.cancel
 }
 
+// backBonus is how much of a grade a caller is ahead that comes back.
+const backBonus = 0.4
+
+// isOverloaded decides whether a caller's request is refused before any work, by the level
+// of the most loaded service that it would reach. A caller that was refused before is
+// let in earlier.
+func (n *Node) isOverloaded(f *flight) bool {
+	level := n.pressure.Level(f.call.Route)
+	fingerprint := fingerprintOf(&f.call)
+	isBack := n.returns.IsBack(fingerprint)
+	if isBack {
+		level = max(0, level-backBonus)
+	}
+	if !admit.IsShed(f.call.Grade, level, n.draw()) {
+		return false
+	}
+	n.returns.Refused(fingerprint)
+	f.log(event.PressureShed, event.Field{Name: "admissionLevel", Value: level},
+		event.Field{Name: "grade", Value: f.call.Grade}, event.Field{Name: "isBack", Value: isBack})
+	return true
+}
+
+// fingerprintOf tells a request that comes again: each attempt has an id of its own, but
+// customer, method, path and body stay.
+func fingerprintOf(c *world.Call) uint64 {
+	h := fnv.New64a()
+	for _, part := range []string{string(c.Customer), c.Method, c.Host, c.Path} {
+		_, _ = io.WriteString(h, part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.Body)
+	return h.Sum64()
+}
+
 // customerOf finds the customer of a request. It returns false if the request needs a
 // known key and has none.
 func customerOf(t *table.Table, route *table.Route, in Incoming) (*table.Customer, bool) {
--- /dev/null
+++ b/core/mesh/sim_test.go
@@ -0,0 +1,753 @@
+package mesh_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/invar"
+	"wagtailyoke/core/mesh"
+	"wagtailyoke/core/store"
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// The simulated deployment: whole nodes on one virtual clock, with links, upstreams and a
+// store that a test can break. The same seed gives the same run.
+
+// Times of the simulated world.
+const (
+	nearWay  = 200 * time.Microsecond
+	farWay   = 700 * time.Microsecond
+	storeWay = 2 * time.Millisecond
+	// silence is when a connection over a cut link is given up.
+	silence = 700 * time.Millisecond
+)
+
+// job is what a run on a route does.
+type job struct {
+	work time.Duration
+	// calls are made after the work, one after the other or all at once.
+	calls    []world.RouteID
+	together bool
+}
+
+// service is a service with the endpoints that it starts with.
+type service struct {
+	name  world.ServiceID
+	slots int
+	// speeds of the endpoints, one for each.
+	speeds []float64
+}
+
+type site struct {
+	c      *qt.C
+	clock  *timer.Virtual
+	random *rand.Rand
+	nodes  []*vm
+	store  *objects
+	jobs   map[world.RouteID]job
+	table  *table.Table
+	// cut holds pairs of nodes that do not reach each other.
+	cut map[[2]int]bool
+	// runs counts the runs of each request of a caller, by id.
+	runs map[world.RequestID]int
+	ids  int
+	// unsafe holds the requests that must not run twice.
+	unsafe map[world.RequestID]bool
+	// worked is the time that upstreams spent, wasted the part of it that was spent for
+	// requests that failed; spent holds it by request.
+	worked, wasted time.Duration
+	spent          map[world.RequestID]time.Duration
+}
+
+// vm is one machine: a node and an upstream.
+type vm struct {
+	site     *site
+	index    int
+	name     world.NodeID
+	domain   world.DomainID
+	service  world.ServiceID
+	node     *mesh.Node
+	up       *upstream
+	life     int
+	isDead   bool
+	sequence uint64
+	born     int64
+}
+
+func newSite(c *qt.C, seed int64, domains int, services []service, routes []*table.Route, customers []*table.Customer, jobs map[world.RouteID]job) *site {
+	s := &site{
+		c: c, clock: timer.NewVirtual(), random: rand.New(rand.NewSource(seed)), jobs: jobs,
+		cut: map[[2]int]bool{}, runs: map[world.RequestID]int{}, unsafe: map[world.RequestID]bool{},
+		spent: map[world.RequestID]time.Duration{},
+	}
+	s.store = newObjects(s)
+	names := make([]world.ServiceID, 0, len(services))
+	for _, svc := range services {
+		names = append(names, svc.name)
+	}
+	var err error
+	s.table, err = table.New(1, routes, customers, names, table.Limits{})
+	c.Assert(err, qt.IsNil)
+	s.store.writeTable(1)
+	for _, svc := range services {
+		for i, speed := range svc.speeds {
+			v := &vm{
+				site: s, index: len(s.nodes), service: svc.name,
+				name:   world.NodeID(fmt.Sprintf("%s-%d", svc.name, i)),
+				domain: world.DomainID(fmt.Sprintf("d%d", i%domains)),
+			}
+			v.up = &upstream{vm: v, slots: svc.slots, speed: speed}
+			s.nodes = append(s.nodes, v)
+		}
+	}
+	for _, v := range s.nodes {
+		v.start()
+		v.beatRegularly()
+	}
+	return s
+}
+
+func (v *vm) address() world.Address { return world.Address("peer:" + string(v.name)) }
+
+// start starts the node's process anew.
+func (v *vm) start() {
+	s := v.site
+	v.life++
+	v.isDead = false
+	v.node = mesh.New(mesh.Dependencies{
+		Info: mesh.Info{
+			Name: v.name, Domain: v.domain, Service: v.service, Peer: v.address(),
+			Upstream: v.upAddress(), Started: s.clock.Wall(),
+		},
+		Options:  mesh.Options{RetryRatio: 0.2, RetrySlack: 47, RetryWindow: 10 * time.Second},
+		Clock:    &lifeClock{Virtual: s.clock, vm: v, life: v.life},
+		Random:   rand.New(rand.NewSource(s.random.Int63())),
+		Links:    &links{vm: v, life: v.life},
+		Upstream: v.up,
+		Objects:  &storeOf{objects: s.store, vm: v, life: v.life},
+		Decode:   s.decode,
+		Metrics:  noMetrics{},
+		Events:   noEvents{},
+		Checks:   invar.New(func(b invar.Violation) { s.c.Fatalf("invariant %v: %s", b.Name, b.Detail) }),
+	})
+	v.node.Start()
+}
+
+// kill ends the node's process; the upstream lives on.
+func (v *vm) kill() {
+	v.life++
+	v.isDead = true
+}
+
+func (v *vm) upAddress() world.Address { return world.Address("up:" + string(v.name)) }
+
+// lifeClock drops what a process that has ended subscribed to.
+type lifeClock struct {
+	*timer.Virtual
+	vm   *vm
+	life int
+}
+
+func (l *lifeClock) After(d time.Duration, f func()) timer.Stop {
+	return l.Virtual.After(d, func() {
+		if l.vm.life == l.life {
+			f()
+		}
+	})
+}
+
+// decode reads the documents that the simulated store holds.
+func (s *site) decode(document []byte) (*table.Table, error) {
+	var version uint64
+	if err := json.Unmarshal(document, &version); err != nil || version == 0 {
+		return nil, errors.Errorf("document %q is no version", document)
+	}
+	t := *s.table
+	t.Version = world.ConfigVersion(version)
+	return &t, nil
+}
+
+const beatPeriod = 1500 * time.Millisecond
+
+func (v *vm) beatRegularly() {
+	v.born = v.site.clock.Wall().UnixMilli()
+	v.beat(mesh.UpstreamReady)
+	timer.Every(v.site.clock, beatPeriod, func() {
+		if !v.up.isDown && !v.up.isLeaving {
+			v.beat(mesh.UpstreamReady)
+		}
+	})
+}
+
+// beat sends a heartbeat. It reports whether it was acknowledged.
+func (v *vm) beat(state mesh.UpstreamState) bool {
+	if v.isDead {
+		return false
+	}
+	v.sequence++
+	return v.node.Heartbeat(mesh.Heartbeat{
+		Instance: v.instance(), Service: v.service, Address: v.upAddress(), Domain: v.domain,
+		Slots: v.up.slots, State: state, Sequence: v.sequence, Born: v.born,
+	}) == nil
+}
+
+func (v *vm) instance() world.InstanceID {
+	return world.InstanceID(fmt.Sprintf("i-%s-%d", v.name, v.born))
+}
+
+// drain makes the upstream leave.
+func (v *vm) drain() {
+	v.up.isLeaving = true
+	if v.beat(mesh.UpstreamDraining) {
+		v.up.drained = true
+	}
+}
+
+func (s *site) reach(a, b int) bool { return !s.cut[[2]int{a, b}] && !s.cut[[2]int{b, a}] }
+
+func (s *site) way(a, b *vm) time.Duration {
+	if a.domain == b.domain {
+		return nearWay
+	}
+	return farWay
+}
+
+// carry runs f at a node, and answer back at the first one, if both live on and reach
+// each other. Otherwise lost is called, after the time in which it shows.
+func (s *site) carry(from *vm, life int, to *vm, f func(answer func(func())), lost func(error)) {
+	target := to.life
+	over := false
+	end := func(g func()) {
+		if !over && from.life == life {
+			over = true
+			g()
+		}
+	}
+	if to.isDead {
+		s.clock.After(s.way(from, to), func() { end(func() { lost(world.ErrNotSent) }) })
+		return
+	}
+	if !s.reach(from.index, to.index) {
+		s.clock.After(silence, func() { end(func() { lost(world.ErrNotSent) }) })
+		return
+	}
+	s.clock.After(s.way(from, to), func() {
+		if to.life != target {
+			end(func() { lost(world.ErrBroken) })
+			return
+		}
+		f(func(g func()) {
+			s.clock.After(s.way(from, to), func() {
+				if !s.reach(from.index, to.index) {
+					s.clock.After(silence, func() { end(func() { lost(world.ErrBroken) }) })
+					return
+				}
+				end(g)
+			})
+		})
+	})
+	// A process that ends takes its connections with it.
+	s.watchLife(to, target, func() { end(func() { lost(world.ErrBroken) }) }, func() bool { return over })
+}
+
+const lifePoll = 20 * time.Millisecond
+
+func (s *site) watchLife(v *vm, life int, ended func(), over func() bool) {
+	s.clock.After(lifePoll, func() {
+		switch {
+		case over():
+		case v.life != life:
+			ended()
+		default:
+			s.watchLife(v, life, ended, over)
+		}
+	})
+}
+
+func (s *site) vmAt(address world.Address) *vm {
+	for _, v := range s.nodes {
+		if v.address() == address {
+			return v
+		}
+	}
+	return nil
+}
+
+type links struct {
+	vm   *vm
+	life int
+}
+
+func (l *links) Forward(to world.Address, c *world.Call, done func(*world.Reply, error)) (cancel func()) {
+	target := l.vm.site.vmAt(to)
+	copied := *c
+	var cancelRun func()
+	isCancelled := false
+	l.vm.site.carry(l.vm, l.life, target, func(answer func(func())) {
+		if isCancelled {
+			return
+		}
+		cancelRun = target.node.ServePeer(&copied, func(r *world.Reply) { answer(func() { done(r, nil) }) })
+	}, func(err error) { done(nil, err) })
+	return func() {
+		isCancelled = true
+		if cancelRun != nil {
+			cancelRun()
+		}
+	}
+}
+
+func (l *links) Exchange(to world.Address, req *wire.ExchangeRequest, _ time.Duration, done func(*wire.ExchangeReply, error)) {
+	target := l.vm.site.vmAt(to)
+	sent := proto.Clone(req).(*wire.ExchangeRequest)
+	l.vm.site.carry(l.vm, l.life, target, func(answer func(func())) {
+		reply := proto.Clone(target.node.HandleExchange(sent)).(*wire.ExchangeReply)
+		answer(func() { done(reply, nil) })
+	}, func(err error) { done(nil, err) })
+}
+
+func (l *links) Tokens(to world.Address, req *wire.TokenRequest, _ time.Duration, done func(*wire.TokenReply, error)) {
+	target := l.vm.site.vmAt(to)
+	l.vm.site.carry(l.vm, l.life, target, func(answer func(func())) {
+		reply := target.node.HandleTokens(req)
+		answer(func() { done(reply, nil) })
+	}, func(err error) { done(nil, err) })
+}
+
+func (l *links) Table(to world.Address, _ time.Duration, done func(*wire.TableReply, error)) {
+	target := l.vm.site.vmAt(to)
+	l.vm.site.carry(l.vm, l.life, target, func(answer func(func())) {
+		reply := target.node.HandleTable()
+		answer(func() { done(reply, nil) })
+	}, func(err error) { done(nil, err) })
+}
+
+// upstream is a service process with slots and a speed.
+type upstream struct {
+	vm      *vm
+	slots   int
+	speed   float64
+	running int
+	// isDown: it takes no connections. loses: its answers are lost.
+	isDown, loses, isLeaving bool
+	// drained means that its node has acknowledged that it leaves.
+	drained bool
+	life    int
+}
+
+func (u *upstream) Do(c *world.Call, instance world.InstanceID, done func(*world.Reply, error)) (cancel func()) {
+	s := u.vm.site
+	s.c.Assert(u.drained, qt.IsFalse, qt.Commentf("request %s reaches %s, which has left", c.ID, u.vm.name))
+	if u.isDown {
+		s.clock.After(nearWay, func() { done(nil, world.ErrNotSent) })
+		return func() {}
+	}
+	if instance != u.vm.instance() {
+		s.clock.After(nearWay, func() {
+			done(world.Refuse(http.StatusMisdirectedRequest, world.CodeStaleInstance, world.RunNo, 0), nil)
+		})
+		return func() {}
+	}
+	if u.running >= u.slots {
+		s.clock.After(nearWay, func() { done(world.Refuse(http.StatusServiceUnavailable, world.CodeUpstreamShed, world.RunNo, 0), nil) })
+		return func() {}
+	}
+	r := &upRun{u: u, call: *c, done: done, life: u.life, nodeLife: u.vm.life}
+	u.running++
+	s.runs[c.ID]++
+	work := time.Duration(float64(s.jobs[c.Route].work) / u.speed * (0.5 + s.random.Float64()))
+	s.worked += work
+	s.spent[rootOf(c.ID)] += work
+	s.clock.After(work, r.makeCalls)
+	return r.cancel
+}
+
+// rootOf returns the caller's request that a call is made for: the simulated upstreams
+// write it into their calls' ids, which the nodes do not look into.
+func rootOf(id world.RequestID) world.RequestID {
+	root, _, _ := strings.Cut(string(id), "/")
+	return world.RequestID(root)
+}
+
+// upRun is one run in an upstream.
+type upRun struct {
+	u        *upstream
+	call     world.Call
+	done     func(*world.Reply, error)
+	life     int
+	nodeLife int
+	over     bool
+	left     int
+}
+
+func (r *upRun) cancel() { r.end(func() {}) }
+
+func (r *upRun) end(f func()) {
+	if r.over {
+		return
+	}
+	r.over = true
+	r.u.running--
+	if r.u.vm.life == r.nodeLife {
+		f()
+	}
+}
+
+func (r *upRun) makeCalls() {
+	calls := r.u.vm.site.jobs[r.call.Route].calls
+	if r.over || r.brokeDown() {
+		return
+	}
+	r.left = len(calls)
+	if r.left == 0 {
+		r.finish(http.StatusOK)
+		return
+	}
+	if !r.u.vm.site.jobs[r.call.Route].together {
+		r.next(calls)
+		return
+	}
+	for _, route := range calls {
+		r.one(route, func() {})
+	}
+}
+
+// brokeDown reports whether the upstream crashed under the run.
+func (r *upRun) brokeDown() bool {
+	if r.life == r.u.life {
+		return false
+	}
+	r.end(func() { r.done(nil, world.ErrBroken) })
+	return true
+}
+
+func (r *upRun) next(calls []world.RouteID) {
+	if len(calls) == 0 || r.over {
+		return
+	}
+	r.one(calls[0], func() { r.next(calls[1:]) })
+}
+
+func (r *upRun) one(route world.RouteID, then func()) {
+	s := r.u.vm.site
+	v := r.u.vm
+	wait := (r.call.Deadline - s.clock.Now()).Truncate(time.Millisecond)
+	if v.isDead || wait <= 0 {
+		r.finish(http.StatusInternalServerError)
+		return
+	}
+	s.ids++
+	v.node.Serve(mesh.Incoming{
+		Call:     world.Call{ID: world.RequestID(fmt.Sprintf("%s/%d", rootOf(r.call.ID), s.ids)), Method: "GET", Path: "/" + string(route) + "/", Host: "site"},
+		PathOnly: "/" + string(route) + "/", Wait: wait,
+	}, func(reply *world.Reply) {
+		if reply.Code != world.CodeNone || reply.Status != http.StatusOK {
+			r.finish(http.StatusInternalServerError)
+			return
+		}
+		r.left--
+		if r.left == 0 {
+			r.finish(http.StatusOK)
+			return
+		}
+		then()
+	})
+}
+
+func (r *upRun) finish(status int) {
+	if r.over || r.brokeDown() {
+		return
+	}
+	if r.u.loses {
+		r.end(func() { r.done(nil, world.ErrBroken) })
+		return
+	}
+	r.end(func() { r.done(&world.Reply{Status: status, Header: http.Header{}}, nil) })
+}
+
+// crash ends all runs of the upstream; it is back after a while as another instance.
+func (u *upstream) crash(downFor time.Duration) {
+	u.isDown = true
+	u.life++
+	s := u.vm.site
+	s.clock.After(downFor, func() {
+		u.isDown, u.isLeaving, u.drained = false, false, false
+		u.vm.born = s.clock.Wall().UnixMilli()
+		u.vm.sequence = 0
+		u.vm.beat(mesh.UpstreamReady)
+	})
+}
+
+// objects is the platform's store.
+type objects struct {
+	site     *site
+	revision uint64
+	kinds    [2]map[string]mesh.Object
+	history  []change
+	// first is the oldest revision that watches can continue from.
+	first uint64
+	// refuses holds the nodes that are turned away; isDown turns away all.
+	refuses map[world.NodeID]bool
+	isDown  bool
+	// losesWrites does writes without an answer.
+	losesWrites bool
+	// deaf lets watches wait whatever happens, until their wait is over.
+	deaf    bool
+	watches []*storeWatch
+	calls   int
+}
+
+type change struct {
+	kind     mesh.Kind
+	object   mesh.Object
+	revision uint64
+}
+
+type storeWatch struct {
+	kind  mesh.Kind
+	after uint64
+	fire  func()
+}
+
+func newObjects(s *site) *objects {
+	o := &objects{site: s, revision: 1, refuses: map[world.NodeID]bool{}}
+	for i := range o.kinds {
+		o.kinds[i] = map[string]mesh.Object{}
+	}
+	return o
+}
+
+func (o *objects) writeTable(version int) {
+	o.change(mesh.KindTable, mesh.Object{Name: "main", Value: []byte(fmt.Sprint(version))})
+}
+
+func (o *objects) change(kind mesh.Kind, object mesh.Object) mesh.Object {
+	o.revision++
+	object.Revision = o.revision
+	if object.IsDeleted {
+		delete(o.kinds[kind], object.Name)
+	} else {
+		o.kinds[kind][object.Name] = object
+	}
+	o.history = append(o.history, change{kind: kind, object: object, revision: o.revision})
+	if !o.deaf {
+		waiting := o.watches
+		o.watches = nil
+		for _, w := range waiting {
+			if w.kind == kind && w.after < o.revision {
+				w.fire()
+				continue
+			}
+			o.watches = append(o.watches, w)
+		}
+	}
+	return object
+}
+
+// compact forgets the history.
+func (o *objects) compact() {
+	o.history = nil
+	o.first = o.revision
+}
+
+// storeOf is the store as one node sees it.
+type storeOf struct {
+	*objects
+	vm   *vm
+	life int
+}
+
+// call runs f at the store and answers the node, unless the store turns it away.
+func (o *storeOf) call(f func(answer func(func())), failed func(error)) {
+	o.calls++
+	clock := o.site.clock
+	back := func(g func()) {
+		clock.After(storeWay, func() {
+			if o.vm.life == o.life {
+				g()
+			}
+		})
+	}
+	clock.After(storeWay, func() {
+		if o.isDown || o.refuses[o.vm.name] {
+			back(func() { failed(store.ErrUnavailable) })
+			return
+		}
+		f(back)
+	})
+}
+
+func (o *storeOf) List(kind mesh.Kind, done func([]mesh.Object, uint64, error)) {
+	o.call(func(answer func(func())) {
+		var list []mesh.Object
+		for _, object := range o.kinds[kind] {
+			list = append(list, object)
+		}
+		sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+		revision := o.revision
+		answer(func() { done(list, revision, nil) })
+	}, func(err error) { done(nil, 0, err) })
+}
+
+func (o *storeOf) Watch(kind mesh.Kind, after uint64, wait time.Duration, done func([]mesh.Object, uint64, error)) {
+	o.call(func(answer func(func())) {
+		if after < o.first {
+			answer(func() { done(nil, 0, store.ErrCompacted) })
+			return
+		}
+		isOver := false
+		fire := func() {
+			if isOver {
+				return
+			}
+			isOver = true
+			var list []mesh.Object
+			for _, c := range o.history {
+				if c.kind == kind && c.revision > after {
+					list = append(list, c.object)
+				}
+			}
+			revision := o.revision
+			answer(func() { done(list, revision, nil) })
+		}
+		if last := o.lastOf(kind); last > after && !o.deaf {
+			fire()
+			return
+		}
+		o.watches = append(o.watches, &storeWatch{kind: kind, after: after, fire: fire})
+		o.site.clock.After(wait, func() {
+			if o.deaf {
+				// The watch was lost without a sign: the client gives it up later.
+				o.site.clock.After(time.Second, func() {
+					if !isOver {
+						isOver = true
+						answer(func() { done(nil, 0, store.ErrUnavailable) })
+					}
+				})
+				return
+			}
+			fire()
+		})
+	}, func(err error) { done(nil, 0, err) })
+}
+
+func (o *objects) lastOf(kind mesh.Kind) uint64 {
+	for i := len(o.history) - 1; i >= 0; i-- {
+		if o.history[i].kind == kind {
+			return o.history[i].revision
+		}
+	}
+	return 0
+}
+
+func (o *storeOf) Put(kind mesh.Kind, name string, revision uint64, value []byte, done func(mesh.Object, error)) {
+	o.call(func(answer func(func())) {
+		held, ok := o.kinds[kind][name]
+		switch {
+		case ok && held.Revision != revision:
+			answer(func() { done(held, store.ErrConflict) })
+		case !ok && revision > 0:
+			answer(func() { done(mesh.Object{}, store.ErrNotFound) })
+		default:
+			object := o.change(kind, mesh.Object{Name: name, Value: value})
+			if o.losesWrites {
+				o.site.clock.After(time.Second, func() { answer(func() { done(mesh.Object{}, store.ErrUnavailable) }) })
+				return
+			}
+			answer(func() { done(object, nil) })
+		}
+	}, func(err error) { done(mesh.Object{}, err) })
+}
+
+func (o *storeOf) Delete(kind mesh.Kind, name string, revision uint64, done func(error)) {
+	o.call(func(answer func(func())) {
+		held, ok := o.kinds[kind][name]
+		if !ok || held.Revision != revision {
+			answer(func() { done(store.ErrConflict) })
+			return
+		}
+		o.change(kind, mesh.Object{Name: name, IsDeleted: true})
+		answer(func() { done(nil) })
+	}, done)
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Admitted(world.CustomerID) {}
+func (noMetrics) Served(world.RouteID)      {}
+func (noMetrics) Refused(world.Code)        {}
+func (noMetrics) Retried(world.Code)        {}
+
+type noEvents struct{}
+
+func (noEvents) Log(event.Number, ...event.Field) {}
+
+// outcome counts what callers of one route got.
+type outcome struct {
+	asked, served, inTime, refused, failed int
+}
+
+// ask sends a caller's request at a node. Refused callers come back once.
+func (s *site) ask(v *vm, route *table.Route, key string, o *outcome) {
+	o.asked++
+	s.attempt(v, route, key, o, s.clock.Now(), fmt.Sprint(o.asked), 1)
+}
+
+func (s *site) attempt(v *vm, route *table.Route, key string, o *outcome, first time.Duration, object string, returns int) {
+	if v.isDead {
+		o.failed++
+		return
+	}
+	s.ids++
+	id := world.RequestID(fmt.Sprintf("ask-%d", s.ids))
+	path := route.Prefix + object
+	if !route.Idempotent {
+		s.unsafe[id] = true
+	}
+	v.node.Serve(mesh.Incoming{
+		Call:     world.Call{ID: id, Method: "GET", Path: path, Host: route.Host, Header: http.Header{}},
+		PathOnly: path, Key: key, HasKey: key != "", Wait: 5 * time.Second,
+	}, func(r *world.Reply) {
+		switch {
+		case r.IsSuccess():
+			o.served++
+			if s.clock.Now()-first <= route.Target {
+				o.inTime++
+			}
+		case r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests:
+			s.c.Assert(r.Run, qt.Equals, world.RunNo)
+			s.checkNotRun(id)
+			if returns > 0 && r.RetryAfter > 0 {
+				s.clock.After(r.RetryAfter, func() { s.attempt(v, route, key, o, first, object, returns-1) })
+				return
+			}
+			o.refused++
+		default:
+			o.failed++
+			s.clock.After(time.Second, func() { s.wasted += s.spent[id] })
+		}
+	})
+}
+
+// checkNotRun expects that a refused request has not run and does not run later.
+func (s *site) checkNotRun(id world.RequestID) {
+	s.c.Assert(s.runs[id], qt.Equals, 0, qt.Commentf("request %s was refused and has run", id))
+	s.clock.After(3*time.Second, func() {
+		s.c.Assert(s.runs[id], qt.Equals, 0, qt.Commentf("request %s was refused and ran later", id))
+	})
+}
+
+func (s *site) run(d time.Duration) { s.clock.Run(s.clock.Now() + d) }
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -49,11 +49,13 @@
 	demands := n.gate.Demands()
 	isStopping := n.IsStopping()
 	version := n.tableVersion()
+	level := n.line.Level()
 	n.view.SetSelf(func(r *wire.FleetRecord) {
 		r.Upstream = info
 		r.Service = string(service)
 		r.Running, r.Queued, r.Limit = uint32(running), uint32(waiting), uint32(limit)
 		r.Demands = demands
+		r.Level = level
 		r.Stopping = isStopping
 		r.TableVersion = uint64(version)
 	})
@@ -214,6 +216,7 @@
 	}
 	n.Checks.That(old == nil || old.Version < t.Version, invar.ConfigMonotonic, "version %d after %d", t.Version, n.tableVersion())
 	n.gate.Install(t.Customers)
+	n.line.SetGrades(t.Grades)
 	n.Events.Log(event.ConfigInstalled, event.Field{Name: "version", Value: t.Version}, event.Field{Name: "source", Value: source})
 	n.refresh()
 	n.exchangeSoon()
@@ -224,6 +227,8 @@
 	nodes := n.view.Nodes()
 	endpoints := make([]place.Endpoint, 0, len(nodes))
 	peers := make([]share.Peer, 0, len(nodes))
+	service := string(n.callerService())
+	others := levels{}
 	for _, node := range nodes {
 		r := node.Record
 		if r.GetNode() != string(n.Info.Name) {
@@ -238,6 +243,9 @@
 		if u.GetState() != wire.NodeState_NODE_STATE_READY || r.GetStopping() {
 			continue
 		}
+		if r.GetService() == service && r.GetNode() != string(n.Info.Name) && !node.IsSilent {
+			others.add(r.GetLevel(), float64(r.GetLimit()))
+		}
 		endpoints = append(endpoints, place.Endpoint{
 			Node:        world.NodeID(r.GetNode()),
 			Domain:      world.DomainID(r.GetDomain()),
@@ -250,7 +258,32 @@
 			Limit:       int(r.GetLimit()),
 		})
 	}
+	n.mu.Lock()
+	n.others = others
+	n.mu.Unlock()
 	n.picker.Update(endpoints)
 	n.gate.SetPeers(peers)
 	n.budgets.SetNodes(len(nodes))
 }
+
+// levels is a mean of admission levels.
+type levels struct {
+	sum, weight float64
+}
+
+func (l *levels) add(level, weight float64) {
+	l.sum += level * weight
+	l.weight += weight
+}
+
+// serviceLevel is the admission level of the own upstream's service: the mean over its
+// endpoints. A request that calls several of them would else meet the highest level, which
+// is above what the service as a whole needs.
+func (n *Node) serviceLevel() float64 {
+	_, _, limit := n.line.Counts()
+	n.mu.Lock()
+	mean := n.others
+	n.mu.Unlock()
+	mean.add(n.line.Level(), float64(limit))
+	return mean.sum / mean.weight
+}
--- a/core/retry/allow.go
+++ b/core/retry/allow.go
@@ -33,8 +33,8 @@
 const (
 	// ratioPart and slackPart are the parts of ratio and slack that nodes spend; the
 	// rest covers calls of runs that were themselves retries.
-	ratioPart = 0.3
-	slackPart = 0.3
+	ratioPart = 0.5
+	slackPart = 0.4
 	// leastSize is the least number of retries that a node can save up.
 	leastSize = 2
 )
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -12,9 +12,11 @@
 package table
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"math"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -85,7 +87,10 @@
 	Customers []*Customer
 	Services  map[world.ServiceID]bool
 	Limits    Limits
+	// Grades is the number of grades.
+	Grades int
 
+	grades map[order]world.Grade
 	byHost map[string][]*Route
 	byKey  map[[sha256.Size]byte]*Customer
 }
@@ -112,6 +117,7 @@
 	for _, list := range t.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
+	t.grade()
 	for _, c := range customers {
 		for _, digest := range c.Digests {
 			if other := t.byKey[digest]; other != nil && other != c {
@@ -149,6 +155,60 @@
 	return nil
 }
 
+// order is the rank of a customer, then that of a route.
+type order struct {
+	customer, route world.Rank
+}
+
+// noRank stands for a customer without a rank: it counts like the first one.
+const noRank world.Rank = 0
+
+// grade orders all pairs of customer and route. A customer's rank goes before the
+// route's.
+func (t *Table) grade() {
+	var orders []order
+	for _, customer := range t.customerRanks() {
+		for _, r := range t.Routes {
+			if !r.IsPublic || !t.HasCustomers() {
+				orders = append(orders, order{customer: customer, route: r.Rank})
+			}
+		}
+	}
+	slices.SortFunc(orders, func(a, b order) int {
+		return cmp.Or(cmp.Compare(b.customer, a.customer), cmp.Compare(b.route, a.route))
+	})
+	orders = slices.Compact(orders)
+	t.grades = make(map[order]world.Grade, len(orders))
+	for i, o := range orders {
+		t.grades[o] = world.Grade(i)
+	}
+	t.Grades = len(orders)
+}
+
+func (t *Table) customerRanks() []world.Rank {
+	ranks := []world.Rank{noRank}
+	for _, c := range t.Customers {
+		if c.HasRank {
+			ranks = append(ranks, c.Rank)
+		}
+	}
+	slices.Sort(ranks)
+	return slices.Compact(ranks)
+}
+
+// GradeOf returns the grade of a customer's requests on a route. customer may be nil.
+func (t *Table) GradeOf(r *Route, customer *Customer) world.Grade {
+	o := order{customer: noRank, route: r.Rank}
+	if customer != nil && customer.HasRank {
+		o.customer = customer.Rank
+	}
+	if g, ok := t.grades[o]; ok {
+		return g
+	}
+	// The route serves other services, and it is not known for which request.
+	return world.Grade(t.Grades / 2)
+}
+
 // Match returns the route with the longest prefix of the path among those of the host.
 func (t *Table) Match(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -45,6 +45,9 @@
 	Epoch uint64
 	// ConfigVersion counts the versions of the configuration object.
 	ConfigVersion uint64
+	// Grade orders calls by importance where routes and customers have ranks: 0 is the
+	// least important.
+	Grade int
 	// InstanceID names one upstream process; a new process mostly has a new one.
 	InstanceID string
 	// Rank orders routes and customers: 0 is served first.
@@ -165,8 +168,8 @@
 	Host string
 	// Caller is the service whose VM the call began on.
 	Caller ServiceID
-	// Rank is the route's or customer's rank among all routes.
-	Rank Rank
+	// Grade orders the call among others.
+	Grade Grade
 	// Target is the instant until which an answer is of full use, 0 if there is none.
 	Target time.Duration
 
--- a/io/hops/hops_test.go
+++ b/io/hops/hops_test.go
@@ -66,7 +66,9 @@
 	return "HTTP/1.1 200 OK\r\n" + idHeader + ": " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
 }
 
-func itoa(n int) string { return string([]byte{byte('0' + n/100), byte('0' + n/10%10), byte('0' + n%10)}) }
+func itoa(n int) string {
+	return string([]byte{byte('0' + n/100), byte('0' + n/10%10), byte('0' + n%10)})
+}
 
 type result struct {
 	resp *hops.Response
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -174,7 +174,7 @@
 		Fingerprint: c.Fingerprint,
 		Host:        c.Host,
 		Caller:      string(c.Caller),
-		Rank:        uint32(max(c.Rank, 0)),
+		Grade:       uint32(max(c.Grade, 0)),
 		TargetUs:    targetLeft(c, clock),
 	}
 }
@@ -285,7 +285,7 @@
 		Fingerprint: meta.GetFingerprint(),
 		Host:        meta.GetHost(),
 		Caller:      world.ServiceID(meta.GetCaller()),
-		Rank:        world.Rank(meta.GetRank()),
+		Grade:       world.Grade(meta.GetGrade()),
 		Method:      r.Method,
 		Header:      r.Header,
 	}
