Move the stand-in of the platform to the users' protocol; one client

Cause: the product's own path spoke a protocol of ours to its store, so the demo did not run what the users have, and there were two clients.

Change: platform/stand keeps objects by kind and name with revisions, conditional writes, watches over a bounded history, rates and faults. platform.Keys is the product's view of it: versions that grow by one lie in the object, the write is bound to its revision. io/plat is gone. Lint fails on a name of the platform outside platform/. make fuzz runs the decoders' targets, make loads the model's table.

Conclusion: one client and one stand-in; what is tested is what runs.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # Tasks of the project. `make demo` and `make test` are all that a newcomer needs.
+# `make lint` also fails on a name of the platform outside platform/.
 SEED ?= 1
 
-.PHONY: all build demo test lint bench soak chaos scenarios fuzz generate
+.PHONY: all build demo test lint bench soak chaos scenarios fuzz loads generate
 
 all: lint test
 
@@ -19,6 +20,7 @@
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
+	./scripts/names.sh
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
@@ -35,6 +37,16 @@
 scenarios: build
 	./scripts/scenarios.sh
 
+# Each decoder of what others write, for a while.
+fuzz:
+	go test ./platform -run '^$$' -fuzz FuzzConfig -fuzztime 30s
+	go test ./platform -run '^$$' -fuzz FuzzHeartbeat -fuzztime 30s
+	go test ./platform -run '^$$' -fuzz FuzzStoreAnswers -fuzztime 30s
+
+# What callers get at multiples of the usual demand, in the simulated site.
+loads:
+	go test ./core/mesh -run LoadTable -v -loads
+
 # Regenerates core/wire; needs protoc and the plugins named in wire.proto.
 generate:
 	protoc -I. --go_out=. --go_opt=module=wagtailyoke --go-drpc_out=. --go-drpc_opt=module=wagtailyoke core/wire/wire.proto
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -4,112 +4,60 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"wagtailyoke/core/store"
-	"wagtailyoke/io/plat"
+	"wagtailyoke/platform/stand"
 )
 
-// platformCommand serves the object API and lets a test make it fail:
+// platformCommand serves the store of objects and lets a test make it fail:
 //
-//	POST /fault?mode=ok|down|slow|loseAnswers&ms=N
+//	POST /fault?mode=ok|down|silent|slow|loseAnswers&ms=N
 //	GET  /calls
 type platformCommand struct {
 	Listen string `long:"listen" default:"127.0.0.1:7000"`
 }
 
-// fault modes of the platform.
+// Rates and history of the users' store.
 const (
-	faultNone = iota
-	faultDown
-	faultSlow
-	faultLoseAnswers
+	writesPerSecond = 400
+	readsPerSecond  = 2000
+	history         = 20 * time.Second
 )
 
-var faultModes = map[string]int64{"ok": faultNone, "down": faultDown, "slow": faultSlow, "loseAnswers": faultLoseAnswers}
-
-// platform counts calls, a waiting watch as one, and applies the current fault.
-type platform struct {
-	api    http.Handler
-	reads  atomic.Int64
-	writes atomic.Int64
-	mode   atomic.Int64
-	delay  atomic.Int64
-}
-
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
-	p := &platform{api: plat.NewHandler(store.NewMemory())}
-	return http.ListenAndServe(c.Listen, p)
-}
-
-// ServeHTTP implements http.Handler.
-func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch r.URL.Path {
-	case "/fault":
-		p.setFault(w, r)
-	case "/calls":
+	objects := stand.New(stand.Limits{WritesPerSecond: writesPerSecond, ReadsPerSecond: readsPerSecond, History: history})
+	mux := http.NewServeMux()
+	mux.Handle("/", objects)
+	mux.HandleFunc("POST /fault", func(w http.ResponseWriter, r *http.Request) { setFault(objects, w, r) })
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
+		reads, writes := objects.Calls()
 		_ = json.NewEncoder(w).Encode(struct {
 			Reads  int64 `json:"reads"`
 			Writes int64 `json:"writes"`
-		}{p.reads.Load(), p.writes.Load()})
-	default:
-		p.serve(w, r)
-	}
-}
-
-func (p *platform) setFault(w http.ResponseWriter, r *http.Request) {
-	mode, ok := faultModes[r.URL.Query().Get("mode")]
-	if !ok {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	ms, _ := strconv.ParseInt(r.URL.Query().Get("ms"), 10, 64)
-	p.delay.Store(ms)
-	p.mode.Store(mode)
+		}{reads, writes})
+	})
+	return http.ListenAndServe(c.Listen, mux)
 }
 
-func (p *platform) serve(w http.ResponseWriter, r *http.Request) {
-	isWrite := r.Method != http.MethodGet
-	if isWrite {
-		p.writes.Add(1)
-	} else {
-		p.reads.Add(1)
+func setFault(objects *stand.Store, w http.ResponseWriter, r *http.Request) {
+	ms, err := strconv.ParseInt(r.URL.Query().Get("ms"), 10, 64)
+	if err != nil {
+		ms = 0
 	}
-	switch p.mode.Load() {
-	case faultDown:
-		hangUp(w)
-	case faultSlow:
-		time.Sleep(time.Duration(p.delay.Load()) * time.Millisecond)
-		p.api.ServeHTTP(w, r)
-	case faultLoseAnswers:
-		if isWrite {
-			p.api.ServeHTTP(discard{}, r)
-			hangUp(w)
-			return
-		}
-		p.api.ServeHTTP(w, r)
+	delay := time.Duration(ms) * time.Millisecond
+	switch r.URL.Query().Get("mode") {
+	case "ok":
+		objects.SetFault(stand.Fault{})
+	case "down":
+		objects.SetFault(stand.Fault{Down: true})
+	case "silent":
+		objects.SetFault(stand.Fault{Silent: true})
+	case "slow":
+		objects.SetFault(stand.Fault{Delay: delay})
+	case "loseAnswers":
+		objects.SetFault(stand.Fault{LoseAnswers: 1, Late: delay})
 	default:
-		p.api.ServeHTTP(w, r)
-	}
-}
-
-// hangUp closes the connection without an answer.
-func hangUp(w http.ResponseWriter) {
-	hijacker, ok := w.(http.Hijacker)
-	if !ok {
-		return
-	}
-	conn, _, err := hijacker.Hijack()
-	if err == nil {
-		_ = conn.Close()
+		w.WriteHeader(http.StatusBadRequest)
 	}
 }
-
-// discard takes an answer that is lost.
-type discard struct{}
-
-func (discard) Header() http.Header         { return http.Header{} }
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-func (discard) WriteHeader(int)             {}
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -14,28 +14,30 @@
 	"github.com/pkg/errors"
 
 	"wagtailyoke/core/intent"
-	"wagtailyoke/core/store"
 	"wagtailyoke/core/world"
-	"wagtailyoke/io/plat"
+	"wagtailyoke/platform"
+	"wagtailyoke/platform/stand"
 )
 
 // testPlatform serves the object API and can lose the answers of writes.
 type testPlatform struct {
-	memory *store.Memory
-	lose   atomic.Int64
+	objects *stand.Store
+	url     string
+	lose    atomic.Int64
 }
 
 func newTestPlatform(c *qt.C) (*testPlatform, string) {
-	p := &testPlatform{memory: store.NewMemory()}
-	api := plat.NewHandler(p.memory)
+	p := &testPlatform{objects: stand.New(stand.Limits{})}
+	api := p.objects
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPut && strings.HasPrefix(r.URL.Path, "/objects/config") && p.lose.Add(-1) >= 0 {
+		if r.Method != http.MethodGet && strings.Contains(r.URL.Path, "wagtailyoke-config") && p.lose.Add(-1) >= 0 {
 			api.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
 		api.ServeHTTP(w, r)
 	}))
 	c.Cleanup(server.Close)
+	p.url = server.URL
 	return p, server.URL
 }
 
@@ -63,7 +65,7 @@
 	c.Assert(confirmed, qt.Contains, "Confirmed: version 1")
 	_, again, _ := run(url, "confirm", planID(c, out))
 	c.Assert(again, qt.Contains, "It had already happened: version 1")
-	o, err := p.memory.Get(intent.ObjectKey)
+	o, err := platform.NewKeys(p.url, platformTimeout).GetNow(context.Background(), intent.ObjectKey)
 	c.Assert(err, qt.IsNil)
 	c.Assert(o.Version, qt.Equals, uint64(1))
 }
@@ -114,7 +116,7 @@
 	_, rest, _ := strings.Cut(out, "digest): ")
 	key, _, _ := strings.Cut(rest, "\n")
 	run(url, "confirm", planID(c, out))
-	o, err := p.memory.Get(intent.ObjectKey)
+	o, err := platform.NewKeys(p.url, platformTimeout).GetNow(context.Background(), intent.ObjectKey)
 	c.Assert(err, qt.IsNil)
 	c.Assert(strings.Contains(string(o.Value), key), qt.IsFalse)
 	cfg, err := intent.Decode(world.ConfigVersion(o.Version), o.Value)
--- a/io/admin/store.go
+++ b/io/admin/store.go
@@ -22,14 +22,14 @@
 	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
 	"wagtailyoke/io/httpx"
-	"wagtailyoke/io/plat"
+	"wagtailyoke/platform"
 )
 
 const platformTimeout = 3 * time.Second
 
 // fleet is the operator's access to the platform and the nodes.
 type fleet struct {
-	platform *plat.Client
+	platform *platform.Keys
 	secret   string
 	http     *http.Client
 }
@@ -37,7 +37,7 @@
 func newFleet(o *options) *fleet {
 	const statusTimeout = 2 * time.Second
 	return &fleet{
-		platform: plat.NewClient(o.Platform, platformTimeout),
+		platform: platform.NewKeys(o.Platform, platformTimeout),
 		secret:   o.Secret,
 		http:     &http.Client{Timeout: statusTimeout},
 	}
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -32,7 +32,7 @@
 	"wagtailyoke/io/logs"
 	"wagtailyoke/io/meter"
 	"wagtailyoke/io/peer"
-	"wagtailyoke/io/plat"
+	"wagtailyoke/platform"
 )
 
 const startTimeout = 15 * time.Second
@@ -162,7 +162,7 @@
 		Tokens:     newToken,
 		Links:      links,
 		Upstream:   httpx.NewUpstream(s.Upstream.Address, clock),
-		Platform:   plat.NewClient(s.Platform.URL, time.Duration(s.Platform.TimeoutMs)*time.Millisecond),
+		Platform:   platform.NewKeys(s.Platform.URL, time.Duration(s.Platform.TimeoutMs)*time.Millisecond),
 		Metrics:    m,
 		Events:     l,
 		Checks:     checks,
--- a/io/proc/proc_test.go
+++ b/io/proc/proc_test.go
@@ -16,12 +16,12 @@
 	qt "github.com/frankban/quicktest"
 
 	"wagtailyoke/core/intent"
-	"wagtailyoke/core/store"
 	"wagtailyoke/core/world"
 	"wagtailyoke/io/conf"
 	"wagtailyoke/io/httpx"
-	"wagtailyoke/io/plat"
 	"wagtailyoke/io/proc"
+	"wagtailyoke/platform"
+	"wagtailyoke/platform/stand"
 )
 
 const secret = "a-secret-of-the-fleet"
@@ -45,10 +45,9 @@
 
 func startSite(c *qt.C, nodes int) *site {
 	s := &site{}
-	memory := store.NewMemory()
-	platform := httptest.NewServer(plat.NewHandler(memory))
-	c.Cleanup(platform.Close)
-	s.platform = platform.URL
+	objects := httptest.NewServer(stand.New(stand.Limits{}))
+	c.Cleanup(objects.Close)
+	s.platform = objects.URL
 	cfg := intent.Empty()
 	cfg.Domains = []world.DomainID{"d"}
 	for i := range 4 {
@@ -61,7 +60,7 @@
 	cfg.Routes = []intent.Route{{ID: "look", Service: "s", Prefix: "/s", Importance: "lookup", Idempotent: true, Public: true}}
 	value, err := cfg.Encode()
 	c.Assert(err, qt.IsNil)
-	_, err = memory.Put(intent.ObjectKey, 0, value)
+	_, err = platform.NewKeys(s.platform, time.Second).PutNow(context.Background(), intent.ObjectKey, 0, value)
 	c.Assert(err, qt.IsNil)
 	for i := range nodes {
 		s.startNode(c, i)
