--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -33,17 +33,17 @@
 	throttleWindow = 100 * time.Millisecond
 	// targetWait is the mean wait in line at which the level stands still: a chain of
 	// ten calls then waits a fifth of a second.
-	targetWait = 30 * time.Millisecond
+	targetWait = 20 * time.Millisecond
 	// throttleRise is the step of the level in a window with more waiting, shedRise
 	// what is added when all calls are shed.
 	throttleRise = 0.01
 	shedRise     = 0.1
 	// throttleFall is the step in a window with little waiting.
-	throttleFall = 0.02
+	throttleFall = 0.01
 	// freeFall is the step in a window in which less than freeUse of the slots were in
-	// use: four grades are gone in five seconds.
-	freeFall = 0.08
-	freeUse  = 0.62
+	// use: two grades are gone in three to four seconds.
+	freeFall = 0.06
+	freeUse  = 0.5
 	// alwaysPassing is the part of the highest grade that is never refused.
 	alwaysPassing = 0.2
 	// idleWait is the mean wait below which the level falls.
--- a/core/mesh/flight.go
+++ b/core/mesh/flight.go
@@ -25,6 +25,8 @@
 	over bool
 	// parent is the run of the own upstream that makes the call, if it is known.
 	parent *run
+	// begun is when the request came.
+	begun time.Duration
 	// tried are the nodes that were asked, reached counts those whose upstream may
 	// have seen the request.
 	tried   []world.NodeID
@@ -62,7 +64,7 @@
 	if in.Wait > 0 {
 		wait = min(wait, in.Wait)
 	}
-	f := &flight{n: n, route: route, done: done, call: in.Call}
+	f := &flight{n: n, route: route, done: done, call: in.Call, begun: now}
 	c := &f.call
 	c.Route = route.ID
 	c.Idempotent = route.Idempotent
@@ -325,6 +327,7 @@
 func (f *flight) count(r *world.Reply) {
 	if !r.IsRefusal() {
 		f.n.Metrics.Served(f.call.Route)
+		f.n.Metrics.Took(PartWhole, f.call.Route, f.n.Clock.Now()-f.begun)
 		return
 	}
 	f.n.Metrics.Refused(r.Code)
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -62,6 +62,39 @@
 	Served(route world.RouteID)
 	Refused(code world.Code)
 	Retried(reason world.Code)
+	// Took measures a part of a request's time.
+	Took(part Part, route world.RouteID, d time.Duration)
+	// State shows what the node is at now.
+	State(s State)
+}
+
+// Part is a part of a request's time.
+type Part uint8
+
+// Parts of a request's time.
+const (
+	// PartWhole is from the request's arrival to its answer, at the entry.
+	PartWhole Part = iota
+	// PartLine is the wait in line, at the node of the upstream.
+	PartLine
+	// PartUpstream is the time in the upstream, calls of its own included.
+	PartUpstream
+)
+
+// String returns the name that metrics show.
+func (p Part) String() string { return [...]string{"whole", "line", "upstream"}[p] }
+
+// State is what a node is at.
+type State struct {
+	// Running and Waiting are calls at the upstream, Limit how many it runs at once.
+	Running, Waiting, Limit int
+	// Level is the admission level of the upstream's service.
+	Level float64
+	// TableVersion is in force and was known to be the newest TableAge ago.
+	TableVersion world.ConfigVersion
+	TableAge     time.Duration
+	// Nodes is the number of nodes known, Silent that of those not heard of.
+	Nodes, Silent int
 }
 
 // Decode reads a routing table as the platform holds it.
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -65,11 +67,11 @@
 // load offers requests at random nodes, in requests per second by route.
 func (s *site) load(d time.Duration, rates map[string]float64, outcomes map[string]*outcome) {
 	end := s.clock.Now() + d
-	for id, rate := range rates {
+	for _, id := range slices.Sorted(maps.Keys(rates)) {
 		if outcomes[id] == nil {
 			outcomes[id] = &outcome{}
 		}
-		s.offer(id, rate, end, outcomes[id])
+		s.offer(id, rates[id], end, outcomes[id])
 	}
 	s.run(d)
 }
@@ -377,11 +379,7 @@
 		s := newYard(c, 11)
 		s.run(3 * time.Second)
 		got := map[string]*outcome{}
-		for _, id := range []string{"view", "reserve", "bin"} {
-			got[id] = &outcome{}
-			s.offer(id, usual[id], s.clock.Now()+5*time.Second, got[id])
-		}
-		s.run(8 * time.Second)
+		s.load(8*time.Second, times(usual, 2.5), got)
 		return fmt.Sprint(*got["view"], *got["reserve"], *got["bin"], s.worked, s.store.calls)
 	}
 	c.Assert(play(), qt.Equals, play())
--- a/core/mesh/run.go
+++ b/core/mesh/run.go
@@ -19,6 +19,8 @@
 	call   *world.Call
 	done   func(*world.Reply)
 	waiter *admit.Waiter
+	// entered is when the call came to this node.
+	entered time.Duration
 
 	mu       sync.Mutex
 	over     bool
@@ -41,7 +43,7 @@
 
 // admit takes a call to this node's upstream.
 func (n *Node) admit(c *world.Call, done func(*world.Reply)) (cancel func()) {
-	r := &run{n: n, call: c, done: done}
+	r := &run{n: n, call: c, done: done, entered: n.Clock.Now()}
 	n.mu.Lock()
 	n.runs++
 	n.mu.Unlock()
@@ -93,6 +95,7 @@
 	r.expiry = r.begun + left.Truncate(time.Millisecond)
 	r.deadline = n.Clock.After(left, r.expire)
 	r.mu.Unlock()
+	n.Metrics.Took(PartLine, r.call.Route, r.begun-r.entered)
 	n.active.add(r)
 	cancel := n.Upstream.Do(r.call, instance, func(reply *world.Reply, err error) { r.answered(instance, reply, err) })
 	r.mu.Lock()
@@ -170,6 +173,7 @@
 		cancel()
 	}
 	r.n.active.remove(r)
+	r.n.Metrics.Took(PartUpstream, r.call.Route, r.n.Clock.Now()-r.begun)
 	r.n.line.Leave(r.waiter, isSample)
 	r.deliver(reply)
 }
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -690,6 +690,9 @@
 func (noMetrics) Served(world.RouteID)      {}
 func (noMetrics) Refused(world.Code)        {}
 func (noMetrics) Retried(world.Code)        {}
+func (noMetrics) State(mesh.State)          {}
+
+func (noMetrics) Took(mesh.Part, world.RouteID, time.Duration) {}
 
 type noEvents struct{}
 
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -39,6 +39,19 @@
 	n.exchange()
 	n.sweep()
 	n.useRecords()
+	n.showState()
+}
+
+func (n *Node) showState() {
+	s := State{Level: n.serviceLevel(), TableVersion: n.tableVersion(), TableAge: n.tableAge()}
+	s.Running, s.Waiting, s.Limit = n.line.Counts()
+	for _, node := range n.view.Nodes() {
+		s.Nodes++
+		if node.IsSilent {
+			s.Silent++
+		}
+	}
+	n.Metrics.State(s)
 }
 
 // refresh renews the own record.
--- a/io/admin/commands.go
+++ b/io/admin/commands.go
@@ -48,6 +48,7 @@
 	return []command{
 		{name: "node", short: "run a node", long: "Runs a node until SIGTERM.\n\nExample: wagtailyoke node --config node.toml", data: &nodeCommand{app: a}},
 		{name: "sidecar", short: "run a node of a mesh", long: "Runs the node beside an upstream until SIGTERM. Callers are on the same VM.\n\nExample: wagtailyoke sidecar --config sidecar.toml", data: &sidecarCommand{app: a}},
+		{name: "explain", short: "one request's story from the nodes' logs", long: "Prints what the logs of several nodes tell about a request, in time order.\n\nExample: wagtailyoke explain 9c41d07be2a35f68 mill-st-1.log annex-b-4.log", data: &explainCommand{app: a}},
 		{name: "customer", short: "customers and their contracts", subs: []command{
 			{name: "set", short: "add a customer or change its contract", long: "Example: wagtailyoke customer set mill-7 --rate 40 --burst 80", data: &customerSet{app: a}},
 			{name: "remove", short: "remove a customer and its keys", data: &customerRemove{app: a}},
--- /dev/null
+++ b/io/admin/explain.go
@@ -0,0 +1,112 @@
+package admin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoLines means that no log holds a line on the request.
+var ErrNoLines = errors.New("no line on the request")
+
+// explainCommand prints what the logs of several nodes tell about one request.
+type explainCommand struct {
+	Args struct {
+		ID   string   `positional-arg-name:"REQUEST-ID" required:"yes"`
+		Logs []string `positional-arg-name:"LOG" required:"1"`
+	} `positional-args:"yes"`
+	app *app
+}
+
+// logLine is a line of a node's log.
+type logLine struct {
+	at     string
+	node   string
+	text   string
+	number int
+	fields map[string]any
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	var lines []logLine
+	for _, name := range c.Args.Logs {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		found, err := linesOf(c.Args.ID, file)
+		_ = file.Close()
+		if err != nil {
+			return errors.Wrapf(err, "log %q", name)
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return errors.Wrapf(ErrNoLines, "request %q; each node logs a bounded number of lines a second (event 800 tells what was left out)", c.Args.ID)
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at < lines[j].at })
+	for _, l := range lines {
+		c.app.print("%s", l)
+	}
+	return nil
+}
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// linesOf returns the lines on a request and on the calls that were made for it. Text
+// before a line's JSON, such as a collector's prefix, is passed over.
+func linesOf(id string, r io.Reader) ([]logLine, error) {
+	var found []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		if !strings.Contains(s.Text(), id) {
+			continue
+		}
+		_, text, ok := strings.Cut(s.Text(), "{")
+		fields := map[string]any{}
+		if !ok || json.Unmarshal([]byte("{"+text), &fields) != nil || fields["id"] != id {
+			continue
+		}
+		found = append(found, lineOf(fields))
+	}
+	return found, s.Err()
+}
+
+func lineOf(fields map[string]any) logLine {
+	l := logLine{fields: fields}
+	l.at, _ = fields["time"].(string)
+	l.node, _ = fields["node"].(string)
+	l.text, _ = fields["msg"].(string)
+	if number, ok := fields["event"].(float64); ok {
+		l.number = int(number)
+	}
+	for _, name := range []string{"time", "node", "msg", "event", "level", "id"} {
+		delete(fields, name)
+	}
+	return l
+}
+
+// String shows time, node, event and the inputs that decided it.
+func (l logLine) String() string {
+	names := make([]string, 0, len(l.fields))
+	for name := range l.fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var inputs []string
+	for _, name := range names {
+		if value := fmt.Sprint(l.fields[name]); value != "" && value != "<nil>" {
+			inputs = append(inputs, name+"="+value)
+		}
+	}
+	return fmt.Sprintf("%s  %-20s %d %s: %s", l.at, l.node, l.number, l.text, strings.Join(inputs, " "))
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"wagtailyoke/core/mesh"
 	"wagtailyoke/core/world"
 )
 
@@ -28,8 +29,35 @@
 	CounterRefused    = "refused"
 	CounterRetried    = "retried"
 	CounterViolations = "invariant_violations"
+	// HistogramTook is in seconds, by part and route.
+	HistogramTook = "took"
 )
 
+// Names of the gauges of a node of a mesh.
+const (
+	GaugeRunning      = "running"
+	GaugeWaiting      = "waiting"
+	GaugeLimit        = "limit"
+	GaugeLevel        = "admission_level"
+	GaugeTableVersion = "table_version"
+	GaugeTableAge     = "table_age_seconds"
+	GaugeNodes        = "nodes"
+	GaugeSilent       = "nodes_silent"
+)
+
+// mostSeries bounds the routes that have a histogram of their own; those beyond share one.
+const (
+	mostSeries = 64
+	otherRoute = "other"
+)
+
+// tookBuckets are the bounds of the histogram: what a hop takes to what callers wait.
+var tookBuckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second,
+}
+
 const prefix = "wagtailyoke"
 
 // reportInterval is how often counts move to the exposed registry.
@@ -42,6 +70,13 @@
 
 	mu       sync.RWMutex
 	counters map[counterID]tally.Counter
+	took     map[tookID]tally.Histogram
+	gauges   map[string]tally.Gauge
+}
+
+type tookID struct {
+	part  mesh.Part
+	route world.RouteID
 }
 
 type counterID struct {
@@ -62,7 +97,7 @@
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Meter{scope: scope, reporter: reporter, counters: map[counterID]tally.Counter{}}, closer
+	return &Meter{scope: scope, reporter: reporter, counters: map[counterID]tally.Counter{}, took: map[tookID]tally.Histogram{}, gauges: map[string]tally.Gauge{}}, closer
 }
 
 // Handler serves the counters.
@@ -84,6 +119,51 @@
 	m.counter(CounterRetried, "reason", string(reason)).Inc(1)
 }
 
+// Took measures a part of a request's time.
+func (m *Meter) Took(part mesh.Part, route world.RouteID, d time.Duration) {
+	m.histogram(tookID{part: part, route: route}).RecordDuration(d)
+}
+
+func (m *Meter) histogram(id tookID) tally.Histogram {
+	m.mu.RLock()
+	h, ok := m.took[id]
+	isFull := len(m.took) >= mostSeries
+	m.mu.RUnlock()
+	if ok {
+		return h
+	}
+	if isFull && id.route != otherRoute {
+		return m.histogram(tookID{part: id.part, route: otherRoute})
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h = m.scope.Tagged(map[string]string{"part": id.part.String(), "route": string(id.route)}).Histogram(HistogramTook, tookBuckets)
+	m.took[id] = h
+	return h
+}
+
+// State shows what a node of a mesh is at.
+func (m *Meter) State(s mesh.State) {
+	for name, value := range map[string]float64{
+		GaugeRunning: float64(s.Running), GaugeWaiting: float64(s.Waiting), GaugeLimit: float64(s.Limit),
+		GaugeLevel: s.Level, GaugeTableVersion: float64(s.TableVersion), GaugeTableAge: s.TableAge.Seconds(),
+		GaugeNodes: float64(s.Nodes), GaugeSilent: float64(s.Silent),
+	} {
+		m.gauge(name).Update(value)
+	}
+}
+
+func (m *Meter) gauge(name string) tally.Gauge {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g, ok := m.gauges[name]
+	if !ok {
+		g = m.scope.Gauge(name)
+		m.gauges[name] = g
+	}
+	return g
+}
+
 // Violated counts a broken invariant.
 func (m *Meter) Violated() { m.counter(CounterViolations, "", "").Inc(1) }
 
@@ -106,10 +186,13 @@
 	return c
 }
 
-// Names returns the exposed names of all counters.
+// Names returns the exposed names of all metrics.
 func Names() []string {
 	var names []string
-	for _, name := range []string{CounterAdmitted, CounterServed, CounterRefused, CounterRetried, CounterViolations} {
+	for _, name := range []string{
+		CounterAdmitted, CounterServed, CounterRefused, CounterRetried, CounterViolations, HistogramTook,
+		GaugeRunning, GaugeWaiting, GaugeLimit, GaugeLevel, GaugeTableVersion, GaugeTableAge, GaugeNodes, GaugeSilent,
+	} {
 		names = append(names, prefix+prometheus.DefaultSeparator+name)
 	}
 	return names
