Let a stopping node's upstream work on; keep demands out of the records

Ruled out: less frequent exchanges, which delay leaves and tables. Parts by demand, which only the moment between the loss of a home and its notice still used.

Change: a stopping node gives up its roles at once and its upstream a second before it ends; late calls are told that they have not run. Records carry no demands; a node that is alone has an even part of the rate.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -184,8 +184,10 @@
 	flights  int
 	runs     int
 	stopping bool
-	stopped  func()
-	isEnded  bool
+	// leaving means that the own upstream takes no more calls from other nodes.
+	leaving bool
+	stopped func()
+	isEnded bool
 	// others is of the admission levels of the service's other endpoints.
 	others levels
 	// tableSeen is when the routing table was last known to be the newest.
@@ -250,6 +252,12 @@
 	return n.stopping
 }
 
+func (n *Node) isStopping() (isStopping, isLeaving bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopping, n.leaving
+}
+
 // Limits returns what callers may send, false as long as no table is in force.
 func (n *Node) Limits() (table.Limits, bool) {
 	t := n.table.Load()
--- a/core/mesh/run.go
+++ b/core/mesh/run.go
@@ -38,6 +38,12 @@
 
 // ServePeer takes a call that another node forwards to this VM's upstream.
 func (n *Node) ServePeer(c *world.Call, done func(*world.Reply)) (cancel func()) {
+	if _, isLeaving := n.isStopping(); isLeaving {
+		refusal := world.Refuse(http.StatusServiceUnavailable, world.CodeDraining, world.RunNo, 0)
+		refusal.Draining = true
+		done(refusal)
+		return func() {}
+	}
 	return n.admit(c, done)
 }
 
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -59,17 +59,15 @@
 	info := n.upstream.info()
 	service := n.callerService()
 	running, waiting, limit := n.line.Counts()
-	demands := n.gate.Demands()
-	isStopping := n.IsStopping()
+	isStopping, isLeaving := n.isStopping()
 	version := n.tableVersion()
 	level := n.line.Level()
 	n.view.SetSelf(func(r *wire.FleetRecord) {
 		r.Upstream = info
 		r.Service = string(service)
 		r.Running, r.Queued, r.Limit = uint32(running), uint32(waiting), uint32(limit)
-		r.Demands = demands
 		r.Level = level
-		r.Stopping = isStopping
+		r.Stopping, r.Leaving = isStopping, isLeaving
 		r.TableVersion = uint64(version)
 	})
 }
@@ -247,13 +245,12 @@
 		if r.GetNode() != string(n.Info.Name) {
 			peers = append(peers, share.Peer{
 				Node:      world.NodeID(r.GetNode()),
-				Demands:   r.GetDemands(),
 				Age:       node.Age,
 				IsLeaving: r.GetStopping(),
 			})
 		}
 		u := r.GetUpstream()
-		if u.GetState() != wire.NodeState_NODE_STATE_READY || r.GetStopping() {
+		if u.GetState() != wire.NodeState_NODE_STATE_READY || r.GetLeaving() {
 			continue
 		}
 		if r.GetService() == service && r.GetNode() != string(n.Info.Name) && !node.IsSilent {
--- a/core/mesh/stop.go
+++ b/core/mesh/stop.go
@@ -10,12 +10,16 @@
 	// leaveTime is how long callers take to notice that the node is not ready: two
 	// looks a second apart, and some time for the last one.
 	leaveTime = 2500 * time.Millisecond
+	// sparedTime is how long before that other nodes stop calling the own upstream: the
+	// news spreads in less, and the calls that it is at can end.
+	sparedTime = time.Second
 	// graceMargin is kept of the grace for the end of the process itself.
 	graceMargin = 500 * time.Millisecond
 )
 
 // Stop begins the graceful shutdown: the node tells that it is not ready, serves what
-// still comes until callers have left, and lets its calls finish. done is called once.
+// still comes until callers have left, and lets its calls finish. Its upstream, which may
+// live on, works for the other nodes nearly as long. done is called once.
 func (n *Node) Stop(done func()) {
 	n.mu.Lock()
 	if n.stopping {
@@ -30,6 +34,13 @@
 	if n.entry != nil {
 		n.entry.remove()
 	}
+	n.Clock.After(leaveTime-sparedTime, func() {
+		n.mu.Lock()
+		n.leaving = true
+		n.mu.Unlock()
+		n.refresh()
+		n.exchange()
+	})
 	n.Clock.After(leaveTime, func() {
 		n.mu.Lock()
 		n.stopped = done
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -6,9 +6,9 @@
 //
 //	g := share.New(clock, self, tolerance, asker)
 //	g.Install(table.Customers)
-//	g.SetPeers(peers)                       // who else there is, and what it is asked for
+//	g.SetPeers(peers)                       // who else there is
 //	g.Take(customer, func(ok bool, wait time.Duration) { ... })
-//	g.Measure()                             // once each period, before Demands
+//	g.Measure()                             // once each period
 //	reply := g.Grant(request)               // at the home
 //
 // One pool keeps the burst whole: split over the nodes beforehand, a small customer would
@@ -36,9 +36,6 @@
 	// demandTime is the time constant of the measured demand: long against the time
 	// that news takes to spread, short against the window in which rates are judged.
 	demandTime = 1500 * time.Millisecond
-	// evenPart is the part of a rate that is split evenly over the nodes whatever their
-	// demand, so that a node finds something when its first request comes.
-	evenPart = 0.05
 	// overagePart and slackPart are the parts of the tolerance that are used: the rest
 	// covers what both sides of a cut admit until they notice it.
 	overagePart = 0.3
@@ -66,8 +63,6 @@
 	// return.
 	leastWait = 250 * time.Millisecond
 	mostWait  = 3 * time.Second
-	// negligible is the demand, in requests per second, below which none is reported.
-	negligible = 0.01
 )
 
 // Tolerance is how far the requests of all nodes in a window may exceed rate and burst.
@@ -81,8 +76,7 @@
 
 // Peer is another node.
 type Peer struct {
-	Node    world.NodeID
-	Demands []*wire.Demand
+	Node world.NodeID
 	// Age is how long ago the node was last heard of.
 	Age time.Duration
 	// IsLeaving means that the node keeps no pools from now on.
@@ -102,17 +96,12 @@
 
 	mu        sync.Mutex
 	customers map[world.CustomerID]*account
-	peers     []peer
+	peers     []Peer
 	measured  time.Duration
 	lost      map[world.NodeID]time.Duration
 	asking    map[world.NodeID]bool
 }
 
-type peer struct {
-	Peer
-	rates map[world.CustomerID]float64
-}
-
 // account is one customer at this node.
 type account struct {
 	id          world.CustomerID
@@ -207,23 +196,13 @@
 // SetPeers takes in the other nodes. One that is not among them any more is gone, and
 // its part goes to the others.
 func (g *Gate) SetPeers(peers []Peer) {
-	next := make([]peer, 0, len(peers))
-	for _, p := range peers {
-		rates := make(map[world.CustomerID]float64, len(p.Demands))
-		for _, d := range p.Demands {
-			if rate := d.GetRate(); rate >= 0 && !math.IsInf(rate, 0) && !math.IsNaN(rate) {
-				rates[world.CustomerID(d.GetCustomer())] = rate
-			}
-		}
-		next = append(next, peer{Peer: p, rates: rates})
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.peers = next
+	g.peers = peers
 	g.divideLocked(g.clock.Now())
 }
 
-// Measure updates the demands and parts.
+// Measure updates the demands.
 func (g *Gate) Measure() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -238,13 +217,11 @@
 		a.demand += weight * (a.asked/elapsed.Seconds() - a.demand)
 		a.asked = 0
 	}
-	g.divideLocked(now)
 }
 
-// divideLocked computes each customer's parts and home. While all nodes hear of each
-// other, the own part goes by demand. When some do not, all go by the number of nodes:
-// what each side of a cut knows of the other's demand differs, and parts of different
-// knowledge would add up to more than the whole.
+// divideLocked computes each customer's parts and home. The parts go by the number of
+// nodes: what each side of a cut knows of the other's demand differs, and parts of
+// different knowledge would add up to more than the whole.
 func (g *Gate) divideLocked(now time.Duration) {
 	nodes := float64(len(g.peers) + 1)
 	away := 0.0
@@ -259,25 +236,10 @@
 		}
 		a.earnLocked(now)
 		a.own, a.live = 1/nodes, (nodes-away)/nodes
-		if away == 0 {
-			a.own = g.ownPartLocked(a)
-		}
 		g.moveHomeLocked(a)
 	}
 }
 
-// ownPartLocked is the part that the own demand has in that of all nodes.
-func (g *Gate) ownPartLocked(a *account) float64 {
-	// The even share counts as demand that every node has.
-	even := evenPart*a.rate/float64(len(g.peers)+1) + 1e-9
-	own := a.demand + even
-	sum := own
-	for _, p := range g.peers {
-		sum += p.rates[a.id] + even
-	}
-	return own / sum
-}
-
 // moveHomeLocked finds the customer's home among the nodes in reach. A node that becomes
 // the home starts with an empty pool: the last one may have granted the rest.
 func (g *Gate) moveHomeLocked(a *account) {
@@ -509,17 +471,3 @@
 	room := aheadPart * b.tokens / float64(len(g.peers)+1)
 	return uint32(max(0, min(demand*aheadTime.Seconds(), room)))
 }
-
-// Demands returns the own demands, by customer.
-func (g *Gate) Demands() []*wire.Demand {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var demands []*wire.Demand
-	for id, a := range g.customers {
-		if a.isLimited && a.demand > negligible {
-			demands = append(demands, &wire.Demand{Customer: string(id), Rate: a.demand})
-		}
-	}
-	sort.Slice(demands, func(i, j int) bool { return demands[i].GetCustomer() < demands[j].GetCustomer() })
-	return demands
-}
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -79,12 +79,12 @@
 	for i, g := range s.gates {
 		g.Measure()
 		var peers []share.Peer
-		for j, other := range s.gates {
+		for j := range s.gates {
 			if i == j {
 				continue
 			}
 			if s.side[i] == s.side[j] {
-				s.told[i][j] = share.Peer{Node: name(j), Demands: other.Demands()}
+				s.told[i][j] = share.Peer{Node: name(j)}
 				s.heard[i][j] = now
 			}
 			p := s.told[i][j]
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -152,11 +152,11 @@
 	case errors.As(err, &strict):
 		for i := range strict.Errors {
 			row, _ := strict.Errors[i].Position()
-			c.add(row, strings.Join(strict.Errors[i].Key(), "."), "unknown key", "the keys in docs/operating.md")
+			c.add(row, strings.Join(strict.Errors[i].Key(), "."), "unknown key", "the keys in docs/OPERATIONS.md")
 		}
 	case errors.As(err, &syntax):
 		row, _ := syntax.Position()
-		c.add(row, strings.Join(syntax.Key(), "."), syntax.Error(), "TOML with values of the types in docs/operating.md")
+		c.add(row, strings.Join(syntax.Key(), "."), syntax.Error(), "TOML with values of the types in docs/OPERATIONS.md")
 	default:
 		c.add(1, "file", err.Error(), "TOML")
 	}
