--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,130 @@
+package place_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wagtailyoke/core/place"
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
+)
+
+func endpoint(name, domain string) place.Endpoint {
+	return place.Endpoint{Node: world.NodeID(name), Domain: world.DomainID(domain), Service: "gate", Incarnation: 1, Instance: "i", Limit: 17}
+}
+
+func newPicker(clock timer.Service, endpoints ...place.Endpoint) *place.Picker {
+	p := place.New(clock, rand.New(rand.NewSource(1)), "near", "self")
+	p.Update(endpoints)
+	return p
+}
+
+// play sends calls one after the other, each answered by end, and counts them by node.
+func play(clock *timer.Virtual, p *place.Picker, calls int, end func(e place.Endpoint) place.Outcome) map[world.NodeID]int {
+	counts := map[world.NodeID]int{}
+	for range calls {
+		e, ok := p.Pick("gate", nil)
+		if !ok {
+			counts[""]++
+			continue
+		}
+		counts[e.Node]++
+		clock.Run(clock.Now() + 5*time.Millisecond)
+		p.Done(e.Node, end(e))
+	}
+	return counts
+}
+
+func good(took time.Duration) place.Outcome {
+	return place.Outcome{Route: "map", Took: took, Limit: 17}
+}
+
+func TestOwnDomainComesFirst(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewVirtual()
+	p := newPicker(clock, endpoint("a", "near"), endpoint("b", "far"), endpoint("c", "far"))
+	counts := play(clock, p, 1000, func(place.Endpoint) place.Outcome { return good(40 * time.Millisecond) })
+	c.Assert(counts["a"] > 850, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts["b"] > 0 && counts["c"] > 0, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+// expectSpill expects that the endpoint of the own domain loses most calls to the others.
+func expectSpill(c *qt.C, end func(e place.Endpoint) place.Outcome) {
+	clock := timer.NewVirtual()
+	p := newPicker(clock, endpoint("a", "near"), endpoint("b", "far"), endpoint("c", "far"))
+	play(clock, p, 200, end)
+	counts := play(clock, p, 1000, end)
+	c.Assert(counts["a"] < 350, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts["a"] > 0, qt.IsTrue, qt.Commentf("a bad endpoint is to be tried now and then: %v", counts))
+}
+
+func TestBadEndpointLosesItsCalls(t *testing.T) {
+	c := qt.New(t)
+	for name, bad := range map[string]place.Outcome{
+		"slow":    good(200 * time.Millisecond),
+		"failing": {Route: "map", Failed: true, Limit: 17},
+	} {
+		c.Run(name, func(c *qt.C) {
+			n := 0
+			expectSpill(c, func(e place.Endpoint) place.Outcome {
+				n++
+				if e.Node == "a" && (name != "failing" || n%2 == 0) {
+					return bad
+				}
+				return good(40 * time.Millisecond)
+			})
+		})
+	}
+}
+
+// TestFullEndpointIsSparedUntilItHasRoom expects the calls back once the node's record,
+// which comes several times a second, tells less load.
+func TestFullEndpointIsSparedUntilItHasRoom(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewVirtual()
+	p := newPicker(clock, endpoint("a", "near"), endpoint("b", "far"), endpoint("c", "far"))
+	full := place.Outcome{Route: "map", Took: 40 * time.Millisecond, Load: 25, Limit: 17}
+	answer := func(e place.Endpoint) place.Outcome {
+		if e.Node == "a" {
+			return full
+		}
+		return good(40 * time.Millisecond)
+	}
+	c.Assert(play(clock, p, 500, answer)["a"] < 50, qt.IsTrue)
+	p.Update([]place.Endpoint{endpoint("a", "near"), endpoint("b", "far"), endpoint("c", "far")})
+	counts := play(clock, p, 500, func(place.Endpoint) place.Outcome { return good(40 * time.Millisecond) })
+	c.Assert(counts["a"] > 400, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+func TestJoinerGetsCallsWithinSeconds(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewVirtual()
+	p := newPicker(clock, endpoint("a", "near"))
+	answer := func(place.Endpoint) place.Outcome { return good(40 * time.Millisecond) }
+	play(clock, p, 100, answer)
+	p.Update([]place.Endpoint{endpoint("a", "near"), endpoint("new", "near")})
+	c.Assert(play(clock, p, 100, answer)["new"] > 20, qt.IsTrue)
+}
+
+// TestSomeEndpointIsLeft expects that endpoints that are out of reach or excluded are tried
+// rather than none, but not those that have left.
+func TestSomeEndpointIsLeft(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewVirtual()
+	silent := endpoint("a", "near")
+	silent.IsSilent = true
+	p := newPicker(clock, silent, endpoint("b", "far"))
+	_, ok := p.Pick("gate", []world.NodeID{"b"})
+	c.Assert(ok, qt.IsTrue)
+	counts := play(clock, p, 50, func(place.Endpoint) place.Outcome { return place.Outcome{Failed: true} })
+	c.Assert(counts[""], qt.Equals, 0)
+	p.Done("a", place.Outcome{IsLeaving: true})
+	p.Done("b", place.Outcome{IsLeaving: true})
+	_, ok = p.Pick("gate", nil)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = p.Pick("other", nil)
+	c.Assert(ok, qt.IsFalse)
+}
