--- a/io/proc/sidecar.go
+++ b/io/proc/sidecar.go
@@ -251,6 +251,7 @@
 const reloadPeriod = time.Second
 
 func (r *reloader) start(clock timer.Service) {
+	// The file was read a moment ago; if it is gone since, the next look sees it as changed.
 	r.text, _ = os.ReadFile(r.file)
 	timer.Every(clock, reloadPeriod, r.look)
 	hup := make(chan os.Signal, 1)
