Share the wait for a forwarded call's reply; drop twins

Cause: a last reading found the same wait for a reply in both peer listeners, the same contains in core/place and core/route, and a field of a connection that is used in one line.

Change: awaitReply serves both listeners; slices.Contains; the field is gone. Behaviour stays; no test is changed.

Ruled out for now: one flight and one run for core/mesh and core/node (they share shape, not decisions), and the target latency and cold time that are carried and decide nothing yet: taking them out changes the wire.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -16,6 +16,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -173,7 +174,7 @@
 	var good, rest []*state
 	for _, s := range p.services[service] {
 		switch {
-		case contains(tried, s.Node) || now < s.leaving:
+		case slices.Contains(tried, s.Node) || now < s.leaving:
 		case now < s.excluded || s.IsSilent:
 			rest = append(rest, s)
 		default:
@@ -186,15 +187,6 @@
 	return rest
 }
 
-func contains(nodes []world.NodeID, node world.NodeID) bool {
-	for _, n := range nodes {
-		if n == node {
-			return true
-		}
-	}
-	return false
-}
-
 // drawLocked draws an endpoint at random, a better one much more likely. A firm choice of
 // the best would send the calls of all nodes to the same one at once.
 func (p *Picker) drawLocked(list []*state) *state {
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -11,6 +11,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -180,7 +181,7 @@
 	var excluded *state
 	for i := range list {
 		s := list[(start+i)%len(list)]
-		if !s.IsReady || now < s.drainedUntil || contains(tried, s.Node) {
+		if !s.IsReady || now < s.drainedUntil || slices.Contains(tried, s.Node) {
 			continue
 		}
 		if now >= s.excluded {
@@ -193,15 +194,6 @@
 	return excluded
 }
 
-func contains(nodes []world.NodeID, node world.NodeID) bool {
-	for _, n := range nodes {
-		if n == node {
-			return true
-		}
-	}
-	return false
-}
-
 // score is the load of an endpoint relative to its limit.
 func (p *Picker) score(s *state) float64 {
 	limit, load := unknownLimit, 0
--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -93,9 +93,8 @@
 // conn is one connection.
 type conn struct {
 	net.Conn
-	r     *bufio.Reader
-	w     *bufio.Writer
-	since time.Time
+	r *bufio.Reader
+	w *bufio.Writer
 	// until is when the other side may close the connection as unused.
 	until time.Time
 	sent  int64
@@ -212,8 +211,7 @@
 }
 
 func (p *Pool) put(address string, c *conn) {
-	c.since = time.Now()
-	if limit := c.since.Add(p.options.Idle); c.until.IsZero() || c.until.After(limit) {
+	if limit := time.Now().Add(p.options.Idle); c.until.IsZero() || c.until.After(limit) {
 		c.until = limit
 	}
 	p.mu.Lock()
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -231,11 +231,17 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	awaitReply(r, c, s.handler.ServePeer, func(reply *world.Reply) { writeReply(w, c.ID, reply) })
+}
+
+// awaitReply serves a call and writes its reply, or gives the call up when the node that
+// forwards it has.
+func awaitReply(r *http.Request, c *world.Call, serve func(*world.Call, func(*world.Reply)) (cancel func()), write func(*world.Reply)) {
 	answered := make(chan *world.Reply, 1)
-	cancel := s.handler.ServePeer(c, func(reply *world.Reply) { answered <- reply })
+	cancel := serve(c, func(reply *world.Reply) { answered <- reply })
 	select {
 	case reply := <-answered:
-		writeReply(w, c.ID, reply)
+		write(reply)
 	case <-r.Context().Done():
 		cancel()
 	}
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -218,14 +218,7 @@
 	}
 	body.DropHopHeaders(c.Header)
 	c.Header.Del("Content-Length")
-	answered := make(chan *world.Reply, 1)
-	cancel := s.handler.ServePeer(c, func(reply *world.Reply) { answered <- reply })
-	select {
-	case reply := <-answered:
-		s.answer(w, c.ID, reply)
-	case <-r.Context().Done():
-		cancel()
-	}
+	awaitReply(r, c, s.handler.ServePeer, func(reply *world.Reply) { s.answer(w, c.ID, reply) })
 }
 
 func (s *MeshServer) answer(w http.ResponseWriter, id world.RequestID, reply *world.Reply) {
