--- a/core/admit/line.go
+++ b/core/admit/line.go
@@ -91,7 +91,29 @@
 func (l *Line) SetGrades(n int) { l.level.SetGrades(n) }
 
 // Level returns the admission level, see Throttle.
-func (l *Line) Level() float64 { return l.level.Value() }
+func (l *Line) Level() float64 {
+	l.mu.Lock()
+	slots := l.limit
+	var backlog []float64
+	for _, w := range l.waiting {
+		for len(backlog) <= int(w.Grade) {
+			backlog = append(backlog, 0)
+		}
+		backlog[w.Grade] += l.tookLocked(w.Route).Seconds()
+	}
+	l.mu.Unlock()
+	return l.level.Value(slots, backlog)
+}
+
+// Needs returns the slots that the calls that come need, by grade.
+func (l *Line) Needs() []float64 { return l.level.Needs() }
+
+// SetOffers takes in what the entries were asked for, by grade; none if not all of them
+// have told it.
+func (l *Line) SetOffers(offers []Offer) { l.level.SetOffers(offers) }
+
+// SetOthers takes in the needs and the slots of the service's other endpoints.
+func (l *Line) SetOthers(needs []float64, slots float64) { l.level.SetOthers(needs, slots) }
 
 // Shed counts a call that the upstream refused itself. An upstream that refuses calls
 // while it has room is faulty, which fewer calls would not mend.
@@ -109,6 +131,7 @@
 	l.mu.Lock()
 	now := l.clock.Now()
 	w.entered = now
+	l.level.Came(w.Grade, l.tookLocked(w.Route))
 	if l.running < l.limit && len(l.waiting) == 0 {
 		l.beginLocked(w)
 		l.mu.Unlock()
@@ -119,7 +142,6 @@
 	if l.waitLocked(w) > patience {
 		w.state = ticketGone
 		l.mu.Unlock()
-		l.level.Shed()
 		w.Drop(world.CodeQueueFull)
 		return
 	}
@@ -151,7 +173,6 @@
 	w.state = ticketRunning
 	w.started = l.clock.Now()
 	l.running++
-	l.level.Waited(w.started-w.entered, float64(l.running)/float64(l.limit))
 }
 
 func (l *Line) collectLocked() []*Waiter {
@@ -192,7 +213,6 @@
 	removed := l.removeLocked(w)
 	l.mu.Unlock()
 	if removed {
-		l.level.Shed()
 		w.Drop(world.CodeQueueTimeout)
 	}
 }
--- a/core/admit/line_test.go
+++ b/core/admit/line_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -117,40 +118,163 @@
 	})
 }
 
-func TestThrottleRisesWithWaitingAndFallsWithFreeSlots(t *testing.T) {
-	c := qt.New(t)
+// throttleTest plays a service with 10 slots and 3 grades. Each request of a caller comes
+// to it as one call of 100 ms.
+type throttleTest struct {
+	c        *qt.C
+	clock    *timer.Virtual
+	throttle *Throttle
+	slots    int
+	carry    [3]float64
+}
+
+func newThrottleTest(c *qt.C) *throttleTest {
 	clock := timer.NewVirtual()
 	throttle := NewThrottle(clock)
 	throttle.SetGrades(3)
-	play := func(d, wait time.Duration, use float64) {
-		for end := clock.Now() + d; clock.Now() < end; clock.Run(clock.Now() + 10*time.Millisecond) {
-			throttle.Waited(wait, use)
+	return &throttleTest{c: c, clock: clock, throttle: throttle, slots: 10}
+}
+
+// play lets callers ask for requests a second by grade. Calls come a while after their
+// requests are let in, at the level of that time.
+func (p *throttleTest) play(d time.Duration, asked [3]float64) (level float64) {
+	const step, way = 50 * time.Millisecond, 300 * time.Millisecond
+	for end := p.clock.Now() + d; p.clock.Now() < end; p.clock.Run(p.clock.Now() + step) {
+		level = p.throttle.Value(p.slots, nil)
+		offers := make([]Offer, len(asked))
+		for g, rate := range asked {
+			letIn := rate * Passing(world.Grade(g), level)
+			offers[g] = Offer{Asked: rate, LetIn: letIn}
+			p.carry[g] += letIn * step.Seconds()
+			for ; p.carry[g] >= 1; p.carry[g]-- {
+				p.clock.After(way, func() { p.throttle.Came(world.Grade(g), 100*time.Millisecond) })
+			}
 		}
+		p.throttle.SetOffers(offers)
 	}
-	play(5*time.Second, 2*targetWait, 1)
-	high := throttle.Value()
-	c.Assert(high > 0.3, qt.IsTrue, qt.Commentf("%v", high))
-	play(2*time.Second, targetWait*3/4, 1)
-	c.Assert(throttle.Value(), qt.Equals, high)
-	play(2*time.Second, 0, 0.2)
-	c.Assert(throttle.Value(), qt.Equals, 0.0)
-	for range 1000 {
-		throttle.Shed()
-		clock.Run(clock.Now() + throttleWindow)
+	return level
+}
+
+func expectLevel(c *qt.C, got, want float64) {
+	c.Helper()
+	c.Assert(math.Abs(got-want) < 0.1, qt.IsTrue, qt.Commentf("level %.2f, want %.2f", got, want))
+}
+
+func TestThrottleLetsInWhatFits(t *testing.T) {
+	for name, test := range map[string]struct {
+		asked [3]float64
+		want  float64
+	}{
+		"room for all":              {[3]float64{30, 30, 30}, 0},
+		"lowest grade in part":      {[3]float64{60, 30, 30}, 0.5},
+		"lowest grade not at all":   {[3]float64{300, 30, 60}, 1},
+		"two grades":                {[3]float64{100, 100, 50}, 1.6},
+		"highest grade in part":     {[3]float64{50, 50, 200}, 2.55},
+		"highest grade never whole": {[3]float64{0, 0, 100000}, 2.8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newThrottleTest(c)
+			p.play(3*time.Second, [3]float64{20, 10, 10})
+			expectLevel(c, p.play(10*time.Second, test.asked), test.want)
+		})
 	}
-	c.Assert(throttle.Value() < 3, qt.IsTrue)
+}
+
+// TestThrottleFollowsASurge expects the level soon after the demand has changed, and no
+// swinging afterwards.
+func TestThrottleFollowsASurge(t *testing.T) {
+	c := qt.New(t)
+	p := newThrottleTest(c)
+	p.play(5*time.Second, [3]float64{30, 20, 20})
+	surge := [3]float64{150, 20, 20}
+	p.play(2*time.Second, surge)
+	for range 20 {
+		expectLevel(c, p.play(500*time.Millisecond, surge), 1-50.0/150)
+	}
+	p.play(2*time.Second, [3]float64{30, 20, 20})
+	expectLevel(c, p.play(time.Second, [3]float64{30, 20, 20}), 0)
+}
+
+func TestThrottleCountsOnTheOtherEndpoints(t *testing.T) {
+	c := qt.New(t)
+	p := newThrottleTest(c)
+	p.throttle.SetOthers([]float64{1, 1, 1}, 20)
+	expectLevel(c, p.play(5*time.Second, [3]float64{100, 50, 50}), 0)
+	p.throttle.SetOthers([]float64{20, 0, 0}, 20)
+	c.Assert(p.play(5*time.Second, [3]float64{100, 50, 50}) > 0.2, qt.IsTrue)
+}
+
+func TestThrottleBelievesAnUpstreamThatSheds(t *testing.T) {
+	c := qt.New(t)
+	p := newThrottleTest(c)
+	asked := [3]float64{40, 20, 20}
+	expectLevel(c, p.play(5*time.Second, asked), 0)
+	for range 40 {
+		p.throttle.Shed()
+		p.throttle.Shed()
+		p.play(100*time.Millisecond, asked)
+	}
+	c.Assert(p.play(100*time.Millisecond, asked) > 0.5, qt.IsTrue)
+	expectLevel(c, p.play(30*time.Second, asked), 0)
+}
+
+func TestBacklogCountsInItsGrade(t *testing.T) {
+	c := qt.New(t)
+	p := newThrottleTest(c)
+	p.play(5*time.Second, [3]float64{30, 20, 20})
+	level := p.throttle.Value(p.slots, []float64{6, 0, 0})
+	c.Assert(level > 0.1 && level <= 1, qt.IsTrue, qt.Commentf("%.2f", level))
 }
 
 func TestReturnsAreRememberedForAWhile(t *testing.T) {
 	c := qt.New(t)
 	clock := timer.NewVirtual()
 	r := NewReturns(clock)
+	isBack := func(fingerprint uint64) bool { return r.Caller(0, fingerprint, 0).IsBack }
 	r.Refused(1)
 	r.Refused(2)
 	clock.Run(returnTime - time.Millisecond)
-	c.Assert(r.IsBack(1), qt.IsTrue)
-	c.Assert(r.IsBack(1), qt.IsFalse)
-	c.Assert(r.IsBack(3), qt.IsFalse)
+	c.Assert(isBack(1), qt.IsTrue)
+	c.Assert(isBack(1), qt.IsFalse)
+	c.Assert(isBack(3), qt.IsFalse)
 	clock.Run(5 * returnTime)
-	c.Assert(r.IsBack(2), qt.IsFalse)
+	c.Assert(isBack(2), qt.IsFalse)
+}
+
+// TestShareIsLetIn expects that the share of a grade that is let in is the one asked for,
+// however many of its callers come back, and that those are ahead.
+func TestShareIsLetIn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		backShare := rapid.Float64Range(0, 1).Draw(t, "backShare")
+		fresh, back := splitShare(share, backShare)
+		if all := backShare*back + (1-backShare)*fresh; math.Abs(all-share) > 1e-9 {
+			t.Fatalf("%v of new callers and %v of the others are let in, %v of all", fresh, back, all)
+		}
+		if fresh < 0 || back > 1 || back < fresh {
+			t.Fatalf("%v of new callers and %v of the others are let in", fresh, back)
+		}
+	})
+}
+
+func TestOffersAreRates(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewVirtual()
+	o := NewOffers(clock)
+	for i := range 400 {
+		clock.Run(clock.Now() + 10*time.Millisecond)
+		o.Count("gate", 1, i%4 == 0)
+		if i%25 == 24 {
+			o.Turn()
+		}
+	}
+	got := o.Of("gate")
+	c.Assert(got, qt.HasLen, 2)
+	c.Assert(math.Abs(got[1].Asked-100) < 2 && math.Abs(got[1].LetIn-25) < 2, qt.IsTrue, qt.Commentf("%+v", got))
+	for range 100 {
+		clock.Run(clock.Now() + 250*time.Millisecond)
+		o.Turn()
+	}
+	c.Assert(o.Services(), qt.HasLen, 0)
 }
--- /dev/null
+++ b/core/admit/offers.go
@@ -0,0 +1,101 @@
+package admit
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
+)
+
+// Offers counts at an entry the requests that callers ask for, by service that they reach
+// and by grade, and those that are let in. The services take their admission levels from
+// that, see Throttle.
+type Offers struct {
+	clock timer.Service
+
+	mu       sync.Mutex
+	start    time.Duration
+	services map[world.ServiceID][]offered
+}
+
+// offered is a count in this window and the smoothed rates.
+type offered struct {
+	asked, letIn int
+	rate         Offer
+}
+
+// offerTime is the time constant of the rates. It is that of the need which they are
+// compared with.
+const offerTime = needTime
+
+// NewOffers returns counts of nothing.
+func NewOffers(clock timer.Service) *Offers {
+	return &Offers{clock: clock, start: clock.Now(), services: map[world.ServiceID][]offered{}}
+}
+
+// Count counts a request of a grade that a service could get, and whether it is let in.
+func (o *Offers) Count(service world.ServiceID, grade world.Grade, isLetIn bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	at := max(int(grade), 0)
+	list := o.services[service]
+	for len(list) <= at {
+		list = append(list, offered{})
+	}
+	list[at].asked++
+	if isLetIn {
+		list[at].letIn++
+	}
+	o.services[service] = list
+}
+
+// Turn ends the window of the counts.
+func (o *Offers) Turn() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	elapsed := (o.clock.Now() - o.start).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	o.start = o.clock.Now()
+	weight := 1 - math.Exp(-elapsed/offerTime.Seconds())
+	for s, list := range o.services {
+		isUsed := false
+		for i := range list {
+			c := &list[i]
+			c.rate.Asked += weight * (float64(c.asked)/elapsed - c.rate.Asked)
+			c.rate.LetIn += weight * (float64(c.letIn)/elapsed - c.rate.LetIn)
+			c.asked, c.letIn = 0, 0
+			isUsed = isUsed || c.rate.Asked >= leastLetIn
+		}
+		if !isUsed {
+			delete(o.services, s)
+		}
+	}
+}
+
+// Services returns the services that requests reached lately.
+func (o *Offers) Services() []world.ServiceID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	names := make([]world.ServiceID, 0, len(o.services))
+	for s := range o.services {
+		names = append(names, s)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Of returns the rates of a service, by grade.
+func (o *Offers) Of(service world.ServiceID) []Offer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	offers := make([]Offer, 0, len(o.services[service]))
+	for _, c := range o.services[service] {
+		offers = append(offers, c.rate)
+	}
+	return offers
+}
--- a/core/admit/returns.go
+++ b/core/admit/returns.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
 )
 
 // Returns remembers requests that were refused for lack of room. A caller that comes back
@@ -17,6 +18,8 @@
 	// young and old are two generations, so that forgetting costs nothing.
 	young, old map[uint64]struct{}
 	turned     time.Duration
+	// back is the share of callers that come back, by grade.
+	back map[world.Grade]float64
 }
 
 const (
@@ -25,11 +28,40 @@
 	returnTime = 4 * time.Second
 	// mostReturns bounds the requests that are remembered in one generation.
 	mostReturns = 4096
+	// backOdds is how much likelier a caller is let in that comes back. More would make
+	// all callers wait for a second try, as those who come back would fill the room.
+	backOdds = 2
+	// backWeight is the weight of a new sample in the share of those who come back.
+	backWeight = 0.02
 )
 
 // NewReturns returns a memory of no requests.
 func NewReturns(clock timer.Service) *Returns {
-	return &Returns{clock: clock, young: map[uint64]struct{}{}, old: map[uint64]struct{}{}, turned: clock.Now()}
+	return &Returns{clock: clock, young: map[uint64]struct{}{}, old: map[uint64]struct{}{}, turned: clock.Now(), back: map[world.Grade]float64{}}
+}
+
+// Caller is what is known of a caller when a share of its grade is to be let in.
+type Caller struct {
+	// IsBack means that it was refused before.
+	IsBack bool
+	// backShare is the share of such callers in its grade.
+	backShare float64
+	// draw is uniform in [0, 1).
+	draw float64
+}
+
+// Caller looks a request up by its fingerprint, and forgets it.
+func (r *Returns) Caller(grade world.Grade, fingerprint uint64, draw float64) Caller {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turnLocked()
+	isBack := r.forgetLocked(fingerprint)
+	sample := 0.0
+	if isBack {
+		sample = 1
+	}
+	r.back[grade] += backWeight * (sample - r.back[grade])
+	return Caller{IsBack: isBack, backShare: r.back[grade], draw: draw}
 }
 
 // Refused remembers a request by its fingerprint.
@@ -42,11 +74,31 @@
 	}
 }
 
-// IsBack reports whether a request was refused before, and forgets it.
-func (r *Returns) IsBack(fingerprint uint64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.turnLocked()
+// IsLetIn reports whether the caller is among the share of its grade that is let in. It is
+// among any larger share, too.
+func (c Caller) IsLetIn(share float64) bool {
+	fresh, back := splitShare(share, c.backShare)
+	if c.IsBack {
+		return c.draw < back
+	}
+	return c.draw < fresh
+}
+
+// splitShare returns the shares of new callers and of those who come back that are let in,
+// so that a share of both together is.
+func splitShare(share, backShare float64) (fresh, back float64) {
+	fresh = share / (1 + (backOdds-1)*backShare)
+	if back = backOdds * fresh; back <= 1 {
+		return fresh, back
+	}
+	if backShare >= 1 {
+		return 1, 1
+	}
+	return min((share-backShare)/(1-backShare), 1), 1
+}
+
+// forgetLocked reports whether a request was refused before, and forgets it.
+func (r *Returns) forgetLocked(fingerprint uint64) bool {
 	_, isYoung := r.young[fingerprint]
 	_, isOld := r.old[fingerprint]
 	delete(r.young, fingerprint)
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -1,10 +1,12 @@
 package admit
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"wagtailyoke/core/timer"
+	"wagtailyoke/core/world"
 )
 
 // Throttle is the admission level of a line. Its whole part is the grade that is refused
@@ -12,111 +14,225 @@
 //
 // It answers an overload of a service that each request calls several times. Where one
 // call in fifty is shed, a request with ten calls fails one time in five, after most of
-// its work. So the level follows waiting, which comes before shedding, and falls slowly:
-// what is refused at the entry costs nothing, what is shed deeper was worked for.
+// its work. So the level does not wait for calls to be shed: it compares the slots that
+// the calls of each grade need with those that there are, and refuses at the entry, where
+// it costs nothing, what does not fit.
+//
+// Calls come to the line some time after the entries let their requests in, so a level
+// that moved until the calls fit would swing. Instead the entries tell how many requests
+// they were asked for and how many they let in. What one request needs follows from the
+// calls that come of those let in, and the level from what all that are asked would need.
 type Throttle struct {
 	clock timer.Service
 
-	mu     sync.Mutex
-	value  float64
-	most   float64
-	start  time.Duration
-	waited time.Duration
-	// used is the sum of the parts of the slots that were in use when calls started.
-	used  float64
-	calls int
-	shed  int
+	mu    sync.Mutex
+	value float64
+	most  float64
+	start time.Duration
+	// grades holds what is known of each grade.
+	grades []demand
+	// calls and shed count calls that came and those that the upstream refused.
+	calls, shed float64
+	// usable is the part of the slots that the upstream really has.
+	usable float64
+	// otherSlots are those of the service's other endpoints.
+	otherSlots float64
+	// isTold means that the entries tell what they were asked for.
+	isTold bool
+}
+
+// demand is what the calls of one grade need, in slots.
+type demand struct {
+	// came is the time in slots that the calls need that came in this window.
+	came float64
+	// need is what the calls that come here keep in use, others the same at the
+	// service's other endpoints.
+	need, others float64
+	// asked and letIn are the requests a second at all entries.
+	asked, letIn float64
+	// slowNeed and slowLetIn are smoothed over a longer time: their ratio is what one
+	// request needs.
+	slowNeed, slowLetIn float64
+}
+
+// Offer is how many requests of a grade the entries were asked for that reach a service,
+// and how many they let in, both per second.
+type Offer struct {
+	Asked, LetIn float64
 }
 
 const (
-	// throttleWindow is the time between two steps of the level.
+	// throttleWindow is the least time between two steps of the level.
 	throttleWindow = 100 * time.Millisecond
-	// targetWait is the mean wait in line at which the level stands still: a chain of
-	// ten calls then waits a fifth of a second.
-	targetWait = 20 * time.Millisecond
-	// throttleRise is the step of the level in a window with more waiting, shedRise
-	// what is added when all calls are shed.
-	throttleRise = 0.01
-	shedRise     = 0.1
-	// throttleFall is the step in a window with little waiting.
-	throttleFall = 0.01
-	// freeFall is the step in a window in which less than freeUse of the slots were in
-	// use: two grades are gone in three to four seconds.
-	freeFall = 0.06
-	freeUse  = 0.5
-	// alwaysPassing is the part of the highest grade that is never refused.
+	// needTime is the time constant of the measured need: calls come in clumps.
+	needTime = 500 * time.Millisecond
+	// costTime is the time constant at which the need of one request is learned. It
+	// covers the time that a request needs to come down to the service several times.
+	costTime = 4 * time.Second
+	// leastLetIn is the number of requests a second below which their need is unknown.
+	leastLetIn = 0.01
+	// targetUse is the part of the slots that may be needed when not all that is asked
+	// fits. Above it the waits in line add up to more than a chain of ten calls can bear.
+	targetUse = 0.9
+	// mostUse is the part of the slots that may be needed for a while: what callers ask
+	// for varies so much by chance. If it lasts, calls wait in line, which counts too.
+	mostUse = 1.1
+	// backlogTime is the time in which calls in line are to be worked off.
+	backlogTime = time.Second
+	// alwaysPassing is the part of the highest grade that is never refused, so that a
+	// service that has recovered is noticed.
 	alwaysPassing = 0.2
-	// idleWait is the mean wait below which the level falls.
-	idleWait = targetWait / 3
+	// An upstream that refuses calls although it has slots left has fewer than it says:
+	// usableFall is by how much the usable part falls in a window in which it refuses
+	// all calls, usableRise how much it rises in another one.
+	usableFall  = 0.2
+	usableRise  = 0.005
+	leastUsable = 0.2
 )
 
 // NewThrottle returns a level of 0.
 func NewThrottle(clock timer.Service) *Throttle {
-	return &Throttle{clock: clock, start: clock.Now()}
+	t := &Throttle{clock: clock, start: clock.Now(), usable: 1}
+	t.SetGrades(1)
+	return t
 }
 
-// SetGrades sets the number of grades. A part of the highest one always passes, so that
-// a service that has recovered is noticed.
+// SetGrades sets the number of grades.
 func (t *Throttle) SetGrades(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.most = max(0, float64(n)-alwaysPassing)
+	for len(t.grades) < n {
+		t.grades = append(t.grades, demand{})
+	}
 }
 
-// Waited counts a call that started after a wait in line, with the part of the slots in
-// use.
-func (t *Throttle) Waited(d time.Duration, use float64) {
+// Came counts a call that needs a slot for a time.
+func (t *Throttle) Came(grade world.Grade, work time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.roll()
-	t.waited += d
-	t.used += use
+	t.grades[min(max(int(grade), 0), len(t.grades)-1)].came += work.Seconds()
 	t.calls++
 }
 
-// Shed counts a call that was shed for lack of room.
+// Shed counts a call that the upstream refused although it should have had room.
 func (t *Throttle) Shed() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.roll()
 	t.shed++
 }
 
-// Value returns the level.
-func (t *Throttle) Value() float64 {
+// SetOthers takes in the needs, by grade, and the slots of the service's other endpoints:
+// calls that do not fit here may fit there.
+func (t *Throttle) SetOthers(needs []float64, slots float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.roll()
-	return t.value
+	t.otherSlots = slots
+	for g := range t.grades {
+		t.grades[g].others = 0
+		if g < len(needs) {
+			t.grades[g].others = needs[g]
+		}
+	}
 }
 
-func (t *Throttle) roll() {
+// Needs returns the slots that the calls need, by grade.
+func (t *Throttle) Needs() []float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	needs := make([]float64, 0, len(t.grades))
+	for _, d := range t.grades {
+		needs = append(needs, d.need)
+	}
+	return needs
+}
+
+// SetOffers takes in what the entries were asked for, by grade; none if not all of them
+// have told it.
+func (t *Throttle) SetOffers(offers []Offer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isTold = len(offers) > 0
+	for g := range t.grades {
+		d := &t.grades[g]
+		d.asked, d.letIn = 0, 0
+		if g < len(offers) {
+			d.asked, d.letIn = offers[g].Asked, offers[g].LetIn
+		}
+	}
+}
+
+// Value returns the level for a line with the given slots and the work in line by grade,
+// in seconds.
+func (t *Throttle) Value(slots int, backlog []float64) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	elapsed := t.clock.Now() - t.start
 	if elapsed < throttleWindow {
-		return
+		return t.value
+	}
+	t.start = t.clock.Now()
+	t.measureLocked(elapsed)
+	t.judgeLocked()
+	t.value = min(t.fitLocked(t.usable*(float64(slots)+t.otherSlots), backlog), t.most)
+	return t.value
+}
+
+// measureLocked takes in the window that ends now.
+func (t *Throttle) measureLocked(elapsed time.Duration) {
+	weight := 1 - math.Exp(-elapsed.Seconds()/needTime.Seconds())
+	slowWeight := 1 - math.Exp(-elapsed.Seconds()/costTime.Seconds())
+	for g := range t.grades {
+		d := &t.grades[g]
+		d.need += weight * (d.came/elapsed.Seconds() - d.need)
+		d.came = 0
+		if t.isTold {
+			d.slowNeed += slowWeight * (d.need + d.others - d.slowNeed)
+			d.slowLetIn += slowWeight * (d.letIn - d.slowLetIn)
+		}
 	}
-	windows := float64(elapsed / throttleWindow)
-	mean := time.Duration(0)
-	if t.calls > 0 {
-		mean = t.waited / time.Duration(t.calls)
+}
+
+// offeredLocked is what all requests of a grade that are asked for would need.
+func (t *Throttle) offeredLocked(grade int) float64 {
+	d := &t.grades[grade]
+	if !t.isTold || d.slowLetIn < leastLetIn {
+		return d.need + d.others
 	}
-	switch {
-	case t.shed > 0 || mean > targetWait:
-		share := float64(t.shed) / float64(t.shed+t.calls)
-		t.value += throttleRise + shedRise*share
-		windows--
-		t.value -= windows * throttleFall
-	case t.isFree():
-		t.value -= windows * freeFall
-	case mean < idleWait:
-		t.value -= windows * throttleFall
+	return d.asked * d.slowNeed / d.slowLetIn
+}
+
+// Passing is the share of the requests of a grade that a level lets in.
+func Passing(grade world.Grade, level float64) float64 {
+	return min(max(float64(grade)+1-level, 0), 1)
+}
+
+func (t *Throttle) judgeLocked() {
+	if t.shed > 0 {
+		t.usable -= usableFall * t.shed / max(t.calls, t.shed)
+	} else {
+		t.usable += usableRise
 	}
-	t.value = min(max(t.value, 0), t.most)
-	t.start = t.clock.Now()
-	t.waited, t.used, t.calls, t.shed = 0, 0, 0, 0
+	t.usable = min(max(t.usable, leastUsable), 1)
+	t.calls, t.shed = 0, 0
 }
 
-// isFree reports whether slots were free all the time: the overload is over.
-func (t *Throttle) isFree() bool {
-	return t.calls == 0 || t.used/float64(t.calls) < freeUse
+// fitLocked returns the level at which what is let in needs no more than the slots. Calls
+// of a higher grade do not wait for those of a lower one, so each grade must fit together
+// with those above it.
+func (t *Throttle) fitLocked(slots float64, backlog []float64) float64 {
+	above := 0.0
+	for g := len(t.grades) - 1; g >= 0; g-- {
+		offered := t.offeredLocked(g)
+		waiting := 0.0
+		if g < len(backlog) {
+			waiting = backlog[g] / backlogTime.Seconds()
+		}
+		if above+offered+waiting > mostUse*slots {
+			room := max(targetUse*slots-above-waiting, 0)
+			return float64(g) + 1 - min(room/offered, 1)
+		}
+		above += offered + waiting
+	}
+	return 0
 }
--- /dev/null
+++ b/core/graph/graph_test.go
@@ -0,0 +1,77 @@
+package graph_test
+
+import (
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"wagtailyoke/core/graph"
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/world"
+)
+
+func TestEdgesAreWhatChanceDoesNotExplain(t *testing.T) {
+	c := qt.New(t)
+	l := graph.NewLearner()
+	c.Assert(l.Edges(), qt.HasLen, 0)
+	for i := range 1000 {
+		l.Ran("view")
+		l.Saw(graph.SameEnd, "view", "hold", 1)
+		l.Saw(graph.LastReply, "view", "map", 1)
+		l.Saw(graph.LastReply, "view", "map", 1)
+		if i%20 == 0 {
+			l.Saw(graph.LastReply, "view", "seldom", 1)
+		}
+		// Seen as often where only chance brings it about.
+		l.Saw(graph.LastReply, "view", "beside", 1)
+		l.Saw(graph.LastReply, "view", "beside", -1)
+	}
+	expectEdges(c, l, "view>hold", "view>map")
+	c.Assert(l.Calls("view", "map"), qt.IsTrue)
+	c.Assert(l.Calls("map", "view"), qt.IsFalse)
+	perRun := l.Edges()[1].PerRun
+	c.Assert(math.Abs(perRun-2) < 0.05, qt.IsTrue, qt.Commentf("%v", perRun))
+}
+
+func TestEdgesFollowARelease(t *testing.T) {
+	c := qt.New(t)
+	l := graph.NewLearner()
+	play := func(child world.RouteID) {
+		for range 2000 {
+			l.Ran("view")
+			l.Saw(graph.LastReply, "view", child, 1)
+		}
+	}
+	play("old")
+	expectEdges(c, l, "view>old")
+	play("new")
+	expectEdges(c, l, "view>new")
+}
+
+func expectEdges(c *qt.C, l *graph.Learner, want ...string) {
+	c.Helper()
+	var got []string
+	for _, e := range l.Edges() {
+		got = append(got, string(e.Route+">"+e.Child))
+	}
+	c.Assert(got, qt.DeepEquals, want)
+}
+
+func TestReachFollowsTheTable(t *testing.T) {
+	c := qt.New(t)
+	edges := []graph.Edge{{Route: "a", Child: "b"}, {Route: "b", Child: "c"}, {Route: "c", Child: "a"}, {Route: "c", Child: "gone"}}
+	routes := []*table.Route{
+		{ID: "a", Parts: []table.Part{{Service: "one", Weight: 1}, {Service: "off", Weight: 0}}},
+		{ID: "b", Parts: []table.Part{{Service: "two", Weight: 1}}},
+		{ID: "c", Parts: []table.Part{{Service: "three", Weight: 1}}},
+		{ID: "d", Parts: []table.Part{{Service: "two", Weight: 1}}},
+	}
+	r := graph.NewReach(routes, edges)
+	c.Assert(r.Services("a"), qt.DeepEquals, []world.ServiceID{"one", "three", "two"})
+	c.Assert(r.Services("d"), qt.DeepEquals, []world.ServiceID{"two"})
+	c.Assert(r.Services("unknown"), qt.HasLen, 0)
+	// A route that moves takes its callers along.
+	routes[1].Parts = []table.Part{{Service: "elsewhere", Weight: 1}}
+	c.Assert(graph.NewReach(routes, edges).Services("a"), qt.DeepEquals, []world.ServiceID{"elsewhere", "one", "three"})
+}
--- a/core/mesh/active.go
+++ b/core/mesh/active.go
@@ -4,139 +4,271 @@
 	"sync"
 	"time"
 
+	"wagtailyoke/core/graph"
 	"wagtailyoke/core/world"
 )
 
-// active holds the runs that the own upstream is at.
+// active holds the runs that the own upstream is at, to tell which of them a call of the
+// upstream is made for. The call does not name its run, but two things tell.
 //
-// A call that the upstream makes does not name the run that it is made for, but its
-// deadline tells: either it ends at the run's deadline, which this node gave to the
-// millisecond, or it has a limit of its own that counts from the start of the run. Such a
-// limit is the same for all calls on a route, so it is learned from those calls.
+// Its deadline: calls end with their run, whose deadline this node gave to the millisecond,
+// unless calls on the route have a shorter limit.
+//
+// Its time: once a run has the reply to a call, it makes the next call or ends. So calls
+// form chains, and the end of a run tells which chain was its own, and so at which age it
+// made its first call. A new chain is given to the run that is nearest to that age.
 type active struct {
-	mu     sync.Mutex
-	runs   map[*run]struct{}
-	limits map[world.RouteID]*ownLimit
+	graph *graph.Learner
+
+	mu   sync.Mutex
+	runs map[*run]struct{}
+	// ends tells of each route whether calls on it end with their runs.
+	ends map[world.RouteID]*callEnds
+	// replies are the last replies to calls, oldest first.
+	replies []*lastReply
+	// ages are the usual ages of runs at the start of a chain.
+	ages map[firstCall]time.Duration
+}
+
+// firstCall is the route of a run and that of its first call.
+type firstCall struct {
+	run, call world.RouteID
+}
+
+// callEnds counts the calls on a route, and those that ended with a run, beyond chance.
+type callEnds struct {
+	fit, seen float64
+}
+
+func (e *callEnds) withRun() bool { return e.fit >= endsWithRun*e.seen }
+
+// chain is a sequence of calls of one run, each made once the reply to the last one had
+// come.
+type chain struct {
+	parent *run
+	begun  time.Duration
+	routes []world.RouteID
+}
+
+// lastReply is the reply to the last call of a chain so far.
+type lastReply struct {
+	at    time.Duration
+	chain *chain
+	// isUsed means that another call or the end of a run followed.
+	isUsed bool
 }
 
-// deadlineMatch is how far the end of a call may lie from where its run puts it: two
-// roundings to a millisecond, and the way to the upstream and back.
-const deadlineMatch = 4 * time.Millisecond
+const (
+	// deadlineMatch is how far the end of a call may lie from that of its run: two
+	// roundings to a millisecond, and the way to the upstream and back.
+	deadlineMatch = 2 * time.Millisecond
+	// endsWithRun is the part of the calls on a route that must end with their run for
+	// the deadline to be believed before the time.
+	endsWithRun = 0.5
+	// mostSeen is the number of calls from which older ones fade.
+	mostSeen = 200
+	// promptly is the time within which a run goes on after a reply: the way to the
+	// upstream and back.
+	promptly = time.Millisecond
+	// ageWeight is the weight of a new sample in the usual age at the first call.
+	ageWeight = 0.1
+	// chances is the number of times that the same evidence is looked for where only
+	// chance brings it about, chanceShift the time between them.
+	chances     = 4
+	chanceShift = 5 * time.Millisecond
+	// replyTime is how long replies are kept for that.
+	replyTime = (chances+1)*chanceShift + promptly
+)
+
+func newActive(learner *graph.Learner) *active {
+	return &active{graph: learner, runs: map[*run]struct{}{}, ends: map[world.RouteID]*callEnds{}, ages: map[firstCall]time.Duration{}}
+}
 
 func (a *active) add(r *run) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.runs == nil {
-		a.runs, a.limits = map[*run]struct{}{}, map[world.RouteID]*ownLimit{}
-	}
 	a.runs[r] = struct{}{}
 }
 
-func (a *active) remove(r *run) {
+// remove takes out a run that ends, and learns which calls it has made.
+func (a *active) remove(r *run, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.runs, r)
+	a.graph.Ran(r.call.Route)
+	a.forgetLocked(now)
+	for shift := range chances + 1 {
+		weight := -1.0 / chances
+		if shift == 0 {
+			weight = 1
+		}
+		after := now - time.Duration(shift)*chanceShift - promptly
+		for _, reply := range a.replies {
+			if reply.isUsed || reply.at < after || reply.at > after+promptly {
+				continue
+			}
+			for _, route := range reply.chain.routes {
+				a.graph.Saw(graph.LastReply, r.call.Route, route, weight)
+			}
+		}
+	}
+	a.learnAgeLocked(r, now)
 }
 
-// parentOf returns the run that a call on a route with the given end is made for, nil if
-// none fits.
-func (a *active) parentOf(route world.RouteID, expiry time.Duration) *run {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if r := a.nearestLocked(func(r *run) time.Duration { return r.expiry - expiry }); r != nil {
-		return r
-	}
-	l := a.limits[route]
-	if l == nil {
-		if a.limits == nil {
-			return nil
+// learnAgeLocked learns at which age a run that ends made its first call, if only one chain
+// can be its own.
+func (a *active) learnAgeLocked(r *run, now time.Duration) {
+	var last *lastReply
+	for _, reply := range a.replies {
+		if reply.isUsed || now-reply.at > promptly || reply.chain.begun < r.begun {
+			continue
 		}
-		l = &ownLimit{votes: map[time.Duration]float64{}}
-		a.limits[route] = l
+		if last != nil {
+			return
+		}
+		last = reply
 	}
-	l.calls++
-	for r := range a.runs {
-		l.vote(expiry - r.begun)
+	if last == nil {
+		return
 	}
-	limit, ok := l.best()
+	last.isUsed = true
+	key := firstCall{run: r.call.Route, call: last.chain.routes[0]}
+	age := last.chain.begun - r.begun
+	old, ok := a.ages[key]
 	if !ok {
-		return nil
+		old = age
 	}
-	return a.nearestLocked(func(r *run) time.Duration { return r.begun + limit - expiry })
+	a.ages[key] = old + time.Duration(ageWeight*float64(age-old))
 }
 
-func (a *active) nearestLocked(off func(*run) time.Duration) *run {
-	var best *run
-	distance := deadlineMatch + 1
-	for r := range a.runs {
-		d := off(r).Abs()
-		if d < distance || d == distance && best != nil && r.call.ID < best.call.ID {
-			best, distance = r, d
-		}
+func (a *active) forgetLocked(now time.Duration) {
+	old := 0
+	for old < len(a.replies) && now-a.replies[old].at > replyTime {
+		old++
 	}
-	return best
+	a.replies = a.replies[old:]
 }
 
-// ownLimit learns the limit that calls on a route have from the start of their run: each
-// call votes for the limit that each run would give it. Only the true one recurs.
-type ownLimit struct {
-	votes map[time.Duration]float64
-	calls float64
+// called returns the chain of a call on a route with the given end.
+func (a *active) called(route world.RouteID, now, expiry time.Duration) *chain {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.forgetLocked(now)
+	ends := a.endsLocked(route, expiry)
+	fitting := a.fittingLocked(route, expiry)
+	isSure := fitting != nil && ends.withRun()
+	c := a.goesOnLocked(now, fitting, isSure)
+	if c == nil {
+		c = &chain{parent: fitting, begun: now}
+		if !isSure {
+			if due := a.dueLocked(route, now); due != nil {
+				c.parent = due
+			}
+		}
+	}
+	c.routes = append(c.routes, route)
+	if c.parent != nil {
+		c.parent.hasCalled = true
+	}
+	return c
 }
 
-const (
-	// limitStep is the width of a vote.
-	limitStep = 2 * time.Millisecond
-	// mostLimit bounds what is learned.
-	mostLimit = 30 * time.Second
-	// leastVoters is the number of calls from which the votes count, mostVoters that
-	// at which older ones begin to fade.
-	leastVoters = 20
-	mostVoters  = 400
-	// clearMajority is the part of the calls that must agree.
-	clearMajority = 0.4
-)
-
-func (l *ownLimit) vote(limit time.Duration) {
-	if limit <= 0 || limit > mostLimit {
-		return
+// goesOnLocked returns the chain that a call goes on with. If the call's run is known for
+// sure, it must be the chain's.
+func (a *active) goesOnLocked(now time.Duration, parent *run, isSure bool) *chain {
+	for _, reply := range a.replies {
+		if reply.isUsed || now-reply.at > promptly || isSure && reply.chain.parent != parent {
+			continue
+		}
+		reply.isUsed = true
+		return reply.chain
 	}
-	l.votes[limit/limitStep]++
+	return nil
 }
 
-func (l *ownLimit) best() (limit time.Duration, ok bool) {
-	if l.calls < leastVoters {
-		return 0, false
+// replied takes in that the upstream has the reply to the last call of a chain.
+func (a *active) replied(c *chain, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.replies = append(a.replies, &lastReply{at: now, chain: c})
+}
+
+// endsLocked counts whether a call ends with a run.
+func (a *active) endsLocked(route world.RouteID, expiry time.Duration) *callEnds {
+	e := a.ends[route]
+	if e == nil {
+		e = &callEnds{}
+		a.ends[route] = e
+	}
+	weights := map[world.RouteID]float64{}
+	for r := range a.runs {
+		early := (expiry - r.expiry).Abs()
+		if early <= deadlineMatch {
+			weights[r.call.Route]++
+		}
+		for shift := range chances {
+			if (early - time.Duration(shift+2)*chanceShift).Abs() <= deadlineMatch {
+				// Both sides of the deadline count here.
+				weights[r.call.Route] -= 0.5 / chances
+			}
+		}
 	}
-	if l.calls > mostVoters {
-		l.fade()
+	for caller, weight := range weights {
+		e.fit += weight
+		a.graph.Saw(graph.SameEnd, caller, route, weight)
 	}
-	most := 0.0
-	for at := range l.votes {
-		// A limit near the edge of a step votes in two of them.
-		count := l.votes[at] + l.votes[at+1]
-		if count > most || count == most && at < limit/limitStep {
-			most, limit = count, (at+1)*limitStep
+	e.seen++
+	if e.seen >= mostSeen {
+		e.seen /= 2
+		e.fit /= 2
+	}
+	return e
+}
+
+// fittingLocked returns the run with the call's end, one that is known to make such calls
+// if there is one.
+func (a *active) fittingLocked(route world.RouteID, expiry time.Duration) (best *run) {
+	var distance time.Duration
+	isCaller := false
+	for r := range a.runs {
+		d := (r.expiry - expiry).Abs()
+		if d > deadlineMatch {
+			continue
+		}
+		calls := a.graph.Calls(r.call.Route, route)
+		if best == nil || calls && !isCaller || calls == isCaller && r.isBefore(best, d, distance) {
+			best, distance, isCaller = r, d, calls
 		}
 	}
-	return limit, most >= clearMajority*l.calls
+	return best
 }
 
-func (l *ownLimit) fade() {
-	l.calls /= 2
-	for at := range l.votes {
-		l.votes[at] /= 2
-		if l.votes[at] < 1 {
-			delete(l.votes, at)
+// isBefore orders runs by a time, and those of the same one by id.
+func (r *run) isBefore(other *run, at, otherAt time.Duration) bool {
+	return at < otherAt || at == otherAt && r.call.ID < other.call.ID
+}
+
+// dueLocked returns the run that is nearest to the age at which such runs make their first
+// call.
+func (a *active) dueLocked(route world.RouteID, now time.Duration) *run {
+	var best *run
+	var distance time.Duration
+	for r := range a.runs {
+		if r.hasCalled || !a.graph.Calls(r.call.Route, route) {
+			continue
+		}
+		d := (now - r.begun - a.ages[firstCall{run: r.call.Route, call: route}]).Abs()
+		if best == nil || r.isBefore(best, d, distance) {
+			best, distance = r, d
 		}
 	}
+	return best
 }
 
 // noteChild takes in the reply to a call that the run made.
 func (r *run) noteChild(reply *world.Reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.childLevel = max(r.childLevel, reply.Level)
 	if !reply.IsSuccess() {
 		r.childFailed = true
 	}
--- a/core/mesh/flight.go
+++ b/core/mesh/flight.go
@@ -23,8 +23,8 @@
 
 	mu   sync.Mutex
 	over bool
-	// parent is the run of the own upstream that makes the call, if it is known.
-	parent *run
+	// chain is what the call is a part of, if the own upstream makes it.
+	chain *chain
 	// begun is when the request came.
 	begun time.Duration
 	// tried are the nodes that were asked, reached counts those whose upstream may
@@ -50,12 +50,14 @@
 	answerMargin = 5 * time.Millisecond
 )
 
-// adopt makes the call a part of the run that it is made for: it is as important as the
-// request that the run serves.
-func (f *flight) adopt(parent *run) {
-	f.parent = parent
-	f.call.Grade = parent.call.Grade
-	f.call.Customer = ""
+// join makes the call a part of the run that it is made for, if that is known: it is as
+// important as the request that the run serves.
+func (f *flight) join(c *chain) {
+	f.chain = c
+	if c.parent != nil {
+		f.call.Grade = c.parent.call.Grade
+		f.call.Customer = ""
+	}
 }
 
 func (n *Node) newFlight(t *installed, in Incoming, route *table.Route, customer *table.Customer, done func(*world.Reply)) *flight {
@@ -166,7 +168,9 @@
 	}
 	f.mu.Unlock()
 	f.n.picker.Done(target.Node, f.outcome(sent, r, isOver))
-	f.noteLevel(r)
+	if f.chain != nil && f.chain.parent != nil {
+		f.chain.parent.noteChild(r)
+	}
 	if isOver {
 		closeRest(r)
 		return
@@ -181,16 +185,6 @@
 	f.finish(f.final(r))
 }
 
-// noteLevel takes in the admission level below. A call of the own upstream adds it to the
-// run that makes the call; so it reaches the node where the whole request began.
-func (f *flight) noteLevel(r *world.Reply) {
-	if f.parent != nil {
-		f.parent.noteChild(r)
-		return
-	}
-	f.n.pressure.Report(f.call.Route, r.Level)
-}
-
 func closeRest(r *world.Reply) {
 	if r.Rest != nil {
 		_ = r.Rest.Close()
@@ -313,6 +307,9 @@
 	f.over = true
 	cancel, stop := f.cancelUp, f.deadline
 	f.mu.Unlock()
+	if f.chain != nil {
+		f.n.active.replied(f.chain, f.n.Clock.Now())
+	}
 	if stop != nil {
 		stop()
 	}
--- /dev/null
+++ b/core/mesh/levels.go
@@ -0,0 +1,257 @@
+package mesh
+
+import (
+	"slices"
+	"sync"
+
+	"wagtailyoke/core/admit"
+	"wagtailyoke/core/graph"
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/wire"
+	"wagtailyoke/core/world"
+)
+
+// pressures is what an entry knows about the load below it: the admission levels of all
+// services, and which of them a request on a route reaches.
+//
+// The levels come with the nodes' records, so they are as fresh for a route of which
+// nothing is let in as for any other: if they came with replies, each entry would have to
+// let some requests in to see whether a service still sheds, and those would be shed.
+type pressures struct {
+	mu     sync.Mutex
+	levels map[world.ServiceID]mean
+	reach  *graph.Reach
+	// table and edges are what reach was made from.
+	table *table.Table
+	edges []graph.Edge
+}
+
+// mean is the mean of the admission levels of a service's endpoints, weighted by their
+// slots, with the slots that the calls to them need.
+type mean struct {
+	sum, weight float64
+	// needs are by grade.
+	needs []float64
+}
+
+func (m *mean) add(level, weight float64) {
+	m.sum += level * weight
+	m.weight += weight
+}
+
+func (m *mean) addNeeds(needs []float32) {
+	for g, need := range needs {
+		if g == len(m.needs) {
+			m.needs = append(m.needs, 0)
+		}
+		m.needs[g] += float64(need)
+	}
+}
+
+func (m *mean) value() float64 {
+	if m.weight == 0 {
+		return 0
+	}
+	return m.sum / m.weight
+}
+
+// setLevels takes in the levels of the other nodes.
+func (p *pressures) setLevels(levels map[world.ServiceID]mean) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.levels = levels
+}
+
+// setGraph takes in the call graph.
+func (p *pressures) setGraph(t *table.Table, edges []graph.Edge) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t == p.table && slices.EqualFunc(edges, p.edges, isSameCall) {
+		return
+	}
+	p.table, p.edges = t, edges
+	p.reach = graph.NewReach(t.Routes, edges)
+}
+
+func isSameCall(a, b graph.Edge) bool { return a.Route == b.Route && a.Child == b.Child }
+
+func (p *pressures) of(service world.ServiceID) mean {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.levels[service]
+}
+
+func (p *pressures) reached(route world.RouteID) []world.ServiceID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reach == nil {
+		return nil
+	}
+	return p.reach.Services(route)
+}
+
+// serviceLevel is the admission level of a service: the mean over its endpoints. A request
+// that calls several of them would else meet the highest level, which is above what the
+// service as a whole needs.
+func (n *Node) serviceLevel(service world.ServiceID) float64 {
+	m := n.pressures.of(service)
+	if service == n.callerService() {
+		_, _, limit := n.line.Counts()
+		m.add(n.line.Level(), float64(limit))
+	}
+	return m.value()
+}
+
+// reachedLevel is the admission level of a service that a request reaches.
+type reachedLevel struct {
+	service world.ServiceID
+	level   float64
+}
+
+// levelsOf returns the levels of the services that a request on a route reaches.
+func (n *Node) levelsOf(route world.RouteID) []reachedLevel {
+	services := n.pressures.reached(route)
+	levels := make([]reachedLevel, 0, len(services))
+	for _, service := range services {
+		levels = append(levels, reachedLevel{service: service, level: n.serviceLevel(service)})
+	}
+	return levels
+}
+
+// highestBut returns the highest level but that of one service.
+func highestBut(levels []reachedLevel, service world.ServiceID) reachedLevel {
+	var highest reachedLevel
+	for _, l := range levels {
+		if l.service != service && l.level > highest.level {
+			highest = l
+		}
+	}
+	return highest
+}
+
+// learnGraph takes in the calls that the runs of all upstreams make. A call counts if most
+// of a service's nodes that know any tell it: a single one may be mistaken.
+func (n *Node) learnGraph(records []*wire.FleetRecord) {
+	t := n.table.Load()
+	if t == nil {
+		return
+	}
+	type told struct {
+		service string
+		edge    graph.Edge
+	}
+	nodes, votes := map[string]int{}, map[told]int{}
+	for _, r := range records {
+		if len(r.GetEdges()) > 0 {
+			nodes[r.GetService()]++
+		}
+		for _, e := range r.GetEdges() {
+			votes[told{service: r.GetService(), edge: graph.Edge{Route: world.RouteID(e.GetRoute()), Child: world.RouteID(e.GetChild())}}]++
+		}
+	}
+	var edges []graph.Edge
+	for v, count := range votes {
+		if 2*count >= nodes[v.service] {
+			edges = append(edges, v.edge)
+		}
+	}
+	graph.Sort(edges)
+	n.pressures.setGraph(t.Table, edges)
+}
+
+const (
+	// tellUse is the part of a service's slots in use from which entries tell what they
+	// are asked for: a service with more room needs no admission level.
+	tellUse = 0.3
+	// heedUse is the part from which all entries will have told it, so that the service
+	// can take what it was told for the whole.
+	heedUse = 0.4
+)
+
+// wireOffers returns what this node is asked for, for the services that may need it.
+func (n *Node) wireOffers() []*wire.ServiceOffer {
+	var list []*wire.ServiceOffer
+	for _, service := range n.offers.Services() {
+		if n.useOf(service) < tellUse && n.serviceLevel(service) == 0 {
+			continue
+		}
+		o := &wire.ServiceOffer{Service: string(service)}
+		for _, rate := range n.offers.Of(service) {
+			o.Asked = append(o.Asked, float32(rate.Asked))
+			o.LetIn = append(o.LetIn, float32(rate.LetIn))
+		}
+		list = append(list, o)
+	}
+	return list
+}
+
+// useOf is the part of a service's slots that the calls need.
+func (n *Node) useOf(service world.ServiceID) float64 {
+	m := n.pressures.of(service)
+	need, slots := 0.0, m.weight
+	for _, grade := range m.needs {
+		need += grade
+	}
+	if service == n.callerService() {
+		_, _, limit := n.line.Counts()
+		slots += float64(limit)
+		for _, grade := range n.line.Needs() {
+			need += grade
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return need / slots
+}
+
+func addOffers(sum []admit.Offer, offers []*wire.ServiceOffer, service world.ServiceID) []admit.Offer {
+	for _, o := range offers {
+		if o.GetService() != string(service) || len(o.GetAsked()) != len(o.GetLetIn()) {
+			continue
+		}
+		for g := range o.GetAsked() {
+			sum = addOffer(sum, g, admit.Offer{Asked: float64(o.GetAsked()[g]), LetIn: float64(o.GetLetIn()[g])})
+		}
+	}
+	return sum
+}
+
+// heedOffers takes in what other entries were asked for that reaches the own service, and
+// what this one was.
+func (n *Node) heedOffers(others []admit.Offer) {
+	service := n.callerService()
+	if n.useOf(service) < heedUse && n.line.Level() == 0 {
+		n.line.SetOffers(nil)
+		return
+	}
+	for g, o := range n.offers.Of(service) {
+		others = addOffer(others, g, o)
+	}
+	n.line.SetOffers(others)
+}
+
+func addOffer(sum []admit.Offer, grade int, o admit.Offer) []admit.Offer {
+	for len(sum) <= grade {
+		sum = append(sum, admit.Offer{})
+	}
+	sum[grade].Asked += o.Asked
+	sum[grade].LetIn += o.LetIn
+	return sum
+}
+
+func wireNeeds(needs []float64) []float32 {
+	list := make([]float32, 0, len(needs))
+	for _, need := range needs {
+		list = append(list, float32(need))
+	}
+	return list
+}
+
+func wireEdges(edges []graph.Edge) []*wire.CallEdge {
+	list := make([]*wire.CallEdge, 0, len(edges))
+	for _, e := range edges {
+		list = append(list, &wire.CallEdge{Route: string(e.Route), Child: string(e.Child), PerRun: e.PerRun})
+	}
+	return list
+}
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -28,6 +28,7 @@
 	"wagtailyoke/core/admit"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/fleet"
+	"wagtailyoke/core/graph"
 	"wagtailyoke/core/invar"
 	"wagtailyoke/core/place"
 	"wagtailyoke/core/retry"
@@ -162,18 +163,20 @@
 type Node struct {
 	Dependencies
 
-	table    atomic.Pointer[installed]
-	view     *fleet.View
-	gate     *share.Gate
-	picker   *place.Picker
-	line     *admit.Line
-	pressure *admit.Pressure
-	returns  *admit.Returns
-	active   active
-	budgets  *retry.Allowances
-	upstream upstreams
-	news     spread
-	entry    *announcer
+	table     atomic.Pointer[installed]
+	view      *fleet.View
+	gate      *share.Gate
+	picker    *place.Picker
+	line      *admit.Line
+	offers    *admit.Offers
+	graph     *graph.Learner
+	pressures pressures
+	returns   *admit.Returns
+	active    *active
+	budgets   *retry.Allowances
+	upstream  upstreams
+	news      spread
+	entry     *announcer
 
 	randomMu sync.Mutex
 
@@ -188,8 +191,6 @@
 	leaving bool
 	stopped func()
 	isEnded bool
-	// others is of the admission levels of the service's other endpoints.
-	others levels
 	// tableSeen is when the routing table was last known to be the newest.
 	tableSeen time.Duration
 	stops     []timer.Stop
@@ -212,7 +213,8 @@
 		Dependencies: d,
 		picker:       place.New(d.Clock, rand.New(rand.NewSource(d.Random.Int63())), d.Info.Domain, d.Info.Name),
 		line:         admit.NewLine(d.Clock, 1, admit.LineOptions{}),
-		pressure:     admit.NewPressure(d.Clock),
+		offers:       admit.NewOffers(d.Clock),
+		graph:        graph.NewLearner(),
 		returns:      admit.NewReturns(d.Clock),
 		budgets:      retry.NewAllowances(d.Clock, d.Options.RetryRatio, d.Options.RetrySlack, d.Options.RetryWindow),
 		splitter:     table.NewSplitter(),
@@ -224,6 +226,7 @@
 		PeerAddress: string(d.Info.Peer),
 		Incarnation: uint64(max(d.Info.Started.UnixMilli(), 1)),
 	}
+	n.active = newActive(n.graph)
 	n.gate = share.New(d.Clock, d.Info.Name, d.Options.Quota, n.askTokens)
 	n.view = fleet.New(d.Clock, self, fleet.Options{Period: d.Options.Exchange, Forget: forgetAfter})
 	return n
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -16,6 +16,7 @@
 
 	"wagtailyoke/core/mesh"
 	"wagtailyoke/core/table"
+	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
 )
 
@@ -35,6 +36,7 @@
 		route("view", 2, time.Second, 1500*time.Millisecond, "desk", true, false),
 		route("reserve", 0, 1200*time.Millisecond, 1500*time.Millisecond, "book", false, false),
 		route("bin", 1, 800*time.Millisecond, 200*time.Millisecond, "gate", true, false),
+		route("quote", 2, 3*time.Second, 1200*time.Millisecond, "price", true, false),
 		route("hold", 9, 2500*time.Millisecond, time.Second, "book", true, true),
 		route("rates", 9, 2*time.Second, 800*time.Millisecond, "price", true, true),
 		route("map", 9, 700*time.Millisecond, 300*time.Millisecond, "gate", true, true),
@@ -43,9 +45,10 @@
 		"view":    {work: 160 * time.Millisecond, calls: []world.RouteID{"hold"}},
 		"reserve": {work: 210 * time.Millisecond, calls: []world.RouteID{"rates", "rates"}, together: true},
 		"bin":     {work: 64 * time.Millisecond},
+		"quote":   {work: 400 * time.Millisecond},
 		"hold":    {work: 15 * time.Millisecond, calls: []world.RouteID{"rates"}},
 		"rates":   {work: 15 * time.Millisecond, calls: []world.RouteID{"map", "map", "map", "map"}},
-		"map":     {work: 40 * time.Millisecond},
+		"map":     {work: 40 * time.Millisecond, limit: 700 * time.Millisecond},
 	}
 	services := []service{
 		{"desk", 68, []float64{0.7, 1, 1.3}}, {"book", 68, []float64{0.7, 1, 1.3}},
@@ -87,7 +90,7 @@
 }
 
 // usual is the demand of an ordinary day: the gate is at some 60 % of its slots.
-var usual = map[string]float64{"view": 80, "reserve": 38, "bin": 28}
+var usual = map[string]float64{"view": 80, "reserve": 38, "bin": 28, "quote": 28}
 
 func times(rates map[string]float64, x float64) map[string]float64 {
 	more := map[string]float64{}
@@ -128,8 +131,61 @@
 	s.load(30*time.Second, times(usual, 2), got)
 	s.run(5 * time.Second)
 	expectServed(c, got, map[string]float64{"reserve": 0.9, "bin": 0.9})
+	expectLittleWasted(c, s, got)
+}
+
+// TestShrunkServiceServesTheImportantFirst takes away two of the gate's three endpoints.
+// The last one can carry reservations and gate lookups, and none of the views, whose calls
+// all end at the gate.
+func TestShrunkServiceServesTheImportantFirst(t *testing.T) {
+	c := qt.New(t)
+	s := newYard(c, 2)
+	s.run(3 * time.Second)
+	s.named("gate-0").drain()
+	s.named("gate-2").drain()
+	s.load(8*time.Second, usual, map[string]*outcome{})
+	got := map[string]*outcome{}
+	s.worked, s.wasted = 0, 0
+	s.load(30*time.Second, usual, got)
+	s.run(5 * time.Second)
+	expectServed(c, got, map[string]float64{"reserve": 0.9, "quote": 0.95})
+	expectOrder(c, got, "reserve", "bin", "view")
+	expectLittleWasted(c, s, got)
+}
+
+// mostInverted is by how much a route may be served less often than a less important one.
+const mostInverted = 0.05
+
+// expectOrder expects that routes, the most important first, are served in that order.
+func expectOrder(c *qt.C, got map[string]*outcome, ids ...string) {
+	least := 1.0
+	for _, id := range ids {
+		served := float64(got[id].served) / float64(got[id].asked)
+		c.Assert(served <= least+mostInverted, qt.IsTrue, qt.Commentf("%s: %.3f served, a more important one %.3f", id, served, least))
+		least = min(least, served)
+	}
+}
+
+// TestGraphIsLearned expects the calls of each route, and none of routes whose runs are
+// beside those that call.
+func TestGraphIsLearned(t *testing.T) {
+	c := qt.New(t)
+	s := newYard(c, 12)
+	s.run(3 * time.Second)
+	s.load(20*time.Second, usual, map[string]*outcome{})
+	want := map[string]bool{"view>hold": true, "reserve>rates": true, "hold>rates": true, "rates>map": true}
+	got := map[string]bool{}
+	for _, record := range s.nodes[0].node.HandleExchange(&wire.ExchangeRequest{}).GetRecords() {
+		for _, e := range record.GetEdges() {
+			got[e.GetRoute()+">"+e.GetChild()] = true
+		}
+	}
+	c.Assert(got, qt.DeepEquals, want)
+}
+
+func expectLittleWasted(c *qt.C, s *site, got map[string]*outcome) {
 	wasted := s.wasted.Seconds() / s.worked.Seconds()
-	c.Assert(wasted < mostWasted, qt.IsTrue, qt.Commentf("%.3f of the work was wasted: %+v", wasted, *got["view"]))
+	c.Assert(wasted < mostWasted, qt.IsTrue, qt.Commentf("%.3f of the work was wasted: views %+v, reservations %+v", wasted, *got["view"], *got["reserve"]))
 }
 
 // mostWasted is the part of the upstreams' work that may go to requests that fail.
@@ -401,7 +457,7 @@
 		s.load(20*time.Second, times(usual, x), got)
 		s.run(5 * time.Second)
 		line := fmt.Sprintf("x%.1f wasted %.3f", x, s.wasted.Seconds()/s.worked.Seconds())
-		for _, id := range []string{"view", "reserve", "bin"} {
+		for _, id := range []string{"view", "reserve", "bin", "quote"} {
 			o, n := got[id], float64(got[id].asked)
 			line += fmt.Sprintf("  %s %.2f/%.2f r%.2f f%.2f", id, float64(o.served)/n, float64(o.inTime)/n, float64(o.refused)/n, float64(o.failed)/n)
 		}
--- a/core/mesh/run.go
+++ b/core/mesh/run.go
@@ -30,9 +30,9 @@
 	// begun is when the call went to the upstream, expiry when the upstream takes its
 	// time for over.
 	begun, expiry time.Duration
-	// childLevel is the highest admission level below, childFailed means that a call
-	// of this run failed.
-	childLevel  float64
+	// hasCalled means that the run made a call. It is guarded by active.
+	hasCalled bool
+	// childFailed means that a call of this run failed.
 	childFailed bool
 }
 
@@ -178,7 +178,7 @@
 	if cancel != nil && reply.Rest == nil {
 		cancel()
 	}
-	r.n.active.remove(r)
+	r.n.active.remove(r, r.n.Clock.Now())
 	r.n.Metrics.Took(PartUpstream, r.call.Route, r.n.Clock.Now()-r.begun)
 	r.n.line.Leave(r.waiter, isSample)
 	r.deliver(reply)
@@ -200,9 +200,7 @@
 	n := r.n
 	running, waiting, limit := n.line.Counts()
 	reply.Load, reply.Limit = running+waiting, limit
-	level := n.serviceLevel()
 	r.mu.Lock()
-	reply.Level = max(r.childLevel, level)
 	// Another run would fail for the same reason, after the same work.
 	reply.Final = reply.Final || r.childFailed && !reply.IsSuccess()
 	r.mu.Unlock()
--- a/core/mesh/serve.go
+++ b/core/mesh/serve.go
@@ -53,18 +53,13 @@
 	}
 	f := n.newFlight(t, in, route, customer, done)
 	if customer == nil && t.HasCustomers() {
-		if parent := n.active.parentOf(route.ID, n.Clock.Now()+in.Wait); parent != nil {
-			f.adopt(parent)
-		}
+		now := n.Clock.Now()
+		f.join(n.active.called(route.ID, now, now+in.Wait))
 		f.begin()
 		return f.cancel
 	}
-	if n.isOverloaded(f) {
-		f.finish(world.Refuse(http.StatusServiceUnavailable, world.CodePressure, world.RunNo, n.comeBack()))
-		return func() {}
-	}
 	if customer == nil {
-		f.begin()
+		n.beginUnlessOverloaded(f)
 		return f.cancel
 	}
 	n.gate.Take(customer.ID, func(admitted bool, wait time.Duration) {
@@ -73,30 +68,43 @@
 			return
 		}
 		n.Metrics.Admitted(customer.ID)
-		f.begin()
+		if !n.beginUnlessOverloaded(f) {
+			n.gate.Return(customer.ID)
+		}
 	})
 	return f.cancel
 }
 
-// backBonus is how much of a grade a caller is ahead that comes back.
-const backBonus = 0.4
+func (n *Node) beginUnlessOverloaded(f *flight) bool {
+	if n.isOverloaded(f) {
+		f.finish(world.Refuse(http.StatusServiceUnavailable, world.CodePressure, world.RunNo, n.comeBack()))
+		return false
+	}
+	f.begin()
+	return true
+}
 
 // isOverloaded decides whether a caller's request is refused before any work, by the level
 // of the most loaded service that it would reach. A caller that was refused before is
 // let in earlier.
 func (n *Node) isOverloaded(f *flight) bool {
-	level := n.pressure.Level(f.call.Route)
-	fingerprint := fingerprintOf(&f.call)
-	isBack := n.returns.IsBack(fingerprint)
-	if isBack {
-		level = max(0, level-backBonus)
+	grade, fingerprint := f.call.Grade, fingerprintOf(&f.call)
+	caller := n.returns.Caller(grade, fingerprint, n.draw())
+	levels := n.levelsOf(f.call.Route)
+	highest := highestBut(levels, "")
+	isLetIn := caller.IsLetIn(admit.Passing(grade, highest.level))
+	for _, l := range levels {
+		// What another service keeps out does not come to this one whatever it admits.
+		if caller.IsLetIn(admit.Passing(grade, highestBut(levels, l.service).level)) {
+			n.offers.Count(l.service, grade, isLetIn)
+		}
 	}
-	if !admit.IsShed(f.call.Grade, level, n.draw()) {
+	if isLetIn {
 		return false
 	}
 	n.returns.Refused(fingerprint)
-	f.log(event.PressureShed, event.Field{Name: "admissionLevel", Value: level},
-		event.Field{Name: "grade", Value: f.call.Grade}, event.Field{Name: "isBack", Value: isBack})
+	f.log(event.PressureShed, event.Field{Name: "admissionLevel", Value: highest.level}, event.Field{Name: "loaded", Value: highest.service},
+		event.Field{Name: "grade", Value: grade}, event.Field{Name: "isBack", Value: caller.IsBack})
 	return true
 }
 
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -33,6 +33,8 @@
 	storeWay = 2 * time.Millisecond
 	// silence is when a connection over a cut link is given up.
 	silence = 700 * time.Millisecond
+	// mostHaste is the part of a limit by which callers may wait less.
+	mostHaste = 0.15
 )
 
 // job is what a run on a route does.
@@ -41,6 +43,9 @@
 	// calls are made after the work, one after the other or all at once.
 	calls    []world.RouteID
 	together bool
+	// limit is the longest time that callers of the route wait, 0 for as long as they
+	// have themselves. They vary it by mostHaste.
+	limit time.Duration
 }
 
 // service is a service with the endpoints that it starts with.
@@ -444,7 +449,11 @@
 func (r *upRun) one(route world.RouteID, then func()) {
 	s := r.u.vm.site
 	v := r.u.vm
-	wait := (r.call.Deadline - s.clock.Now()).Truncate(time.Millisecond)
+	left := r.call.Deadline - s.clock.Now()
+	if limit := s.jobs[route].limit; limit > 0 {
+		left = min(left, time.Duration((1-mostHaste*s.random.Float64())*float64(limit)))
+	}
+	wait := left.Truncate(time.Millisecond)
 	if v.isDead || wait <= 0 {
 		r.finish(http.StatusInternalServerError)
 		return
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"wagtailyoke/core/admit"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/invar"
 	"wagtailyoke/core/place"
@@ -43,7 +44,7 @@
 }
 
 func (n *Node) showState() {
-	s := State{Level: n.serviceLevel(), TableVersion: n.tableVersion(), TableAge: n.tableAge()}
+	s := State{Level: n.serviceLevel(n.callerService()), TableVersion: n.tableVersion(), TableAge: n.tableAge()}
 	s.Running, s.Waiting, s.Limit = n.line.Counts()
 	for _, node := range n.view.Nodes() {
 		s.Nodes++
@@ -61,12 +62,14 @@
 	running, waiting, limit := n.line.Counts()
 	isStopping, isLeaving := n.isStopping()
 	version := n.tableVersion()
-	level := n.line.Level()
+	n.offers.Turn()
+	offers := n.wireOffers()
+	level, needs, edges := n.line.Level(), wireNeeds(n.line.Needs()), wireEdges(n.graph.Edges())
 	n.view.SetSelf(func(r *wire.FleetRecord) {
 		r.Upstream = info
 		r.Service = string(service)
 		r.Running, r.Queued, r.Limit = uint32(running), uint32(waiting), uint32(limit)
-		r.Level = level
+		r.Level, r.Needs, r.Edges, r.Offers = level, needs, edges, offers
 		r.Stopping, r.Leaving = isStopping, isLeaving
 		r.TableVersion = uint64(version)
 	})
@@ -238,10 +241,15 @@
 	nodes := n.view.Nodes()
 	endpoints := make([]place.Endpoint, 0, len(nodes))
 	peers := make([]share.Peer, 0, len(nodes))
-	service := string(n.callerService())
-	others := levels{}
+	levels := map[world.ServiceID]mean{}
+	records := make([]*wire.FleetRecord, 0, len(nodes))
+	var offers []admit.Offer
 	for _, node := range nodes {
 		r := node.Record
+		records = append(records, r)
+		if r.GetNode() != string(n.Info.Name) && !node.IsSilent {
+			offers = addOffers(offers, r.GetOffers(), n.callerService())
+		}
 		if r.GetNode() != string(n.Info.Name) {
 			peers = append(peers, share.Peer{
 				Node:      world.NodeID(r.GetNode()),
@@ -253,8 +261,11 @@
 		if u.GetState() != wire.NodeState_NODE_STATE_READY || r.GetLeaving() {
 			continue
 		}
-		if r.GetService() == service && r.GetNode() != string(n.Info.Name) && !node.IsSilent {
-			others.add(r.GetLevel(), float64(r.GetLimit()))
+		if r.GetNode() != string(n.Info.Name) && !node.IsSilent {
+			m := levels[world.ServiceID(r.GetService())]
+			m.add(r.GetLevel(), float64(r.GetLimit()))
+			m.addNeeds(r.GetNeeds())
+			levels[world.ServiceID(r.GetService())] = m
 		}
 		endpoints = append(endpoints, place.Endpoint{
 			Node:        world.NodeID(r.GetNode()),
@@ -268,32 +279,12 @@
 			Limit:       int(r.GetLimit()),
 		})
 	}
-	n.mu.Lock()
-	n.others = others
-	n.mu.Unlock()
+	n.pressures.setLevels(levels)
+	own := levels[n.callerService()]
+	n.line.SetOthers(own.needs, own.weight)
+	n.heedOffers(offers)
+	n.learnGraph(records)
 	n.picker.Update(endpoints)
 	n.gate.SetPeers(peers)
 	n.budgets.SetNodes(len(nodes))
 }
-
-// levels is a mean of admission levels.
-type levels struct {
-	sum, weight float64
-}
-
-func (l *levels) add(level, weight float64) {
-	l.sum += level * weight
-	l.weight += weight
-}
-
-// serviceLevel is the admission level of the own upstream's service: the mean over its
-// endpoints. A request that calls several of them would else meet the highest level, which
-// is above what the service as a whole needs.
-func (n *Node) serviceLevel() float64 {
-	_, _, limit := n.line.Counts()
-	n.mu.Lock()
-	mean := n.others
-	n.mu.Unlock()
-	mean.add(n.line.Level(), float64(limit))
-	return mean.sum / mean.weight
-}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -300,6 +300,28 @@
 	done(ok, wait)
 }
 
+// Return gives back the token of a request that was not let in after all. Elsewhere than at
+// the home it waits for the customer's next request here.
+func (g *Gate) Return(customer world.CustomerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.customers[customer]
+	if a == nil || !a.isLimited {
+		return
+	}
+	now := g.clock.Now()
+	if a.home == g.self {
+		a.earnLocked(now)
+		a.pool.tokens = min(a.pool.tokens+1, max(1, a.burst))
+		return
+	}
+	if now >= a.stockUntil {
+		a.stock = 0
+	}
+	a.stock++
+	a.stockUntil = now + stockTime
+}
+
 // takeLocked decides here if it can.
 func (g *Gate) takeLocked(a *account, now time.Duration) (ok bool, wait time.Duration, isKnown bool) {
 	switch {
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -33,6 +33,9 @@
 	// admitted are the instants of all admitted requests.
 	admitted []time.Duration
 	refused  int
+	// returned is the part of the tokens that is given back, in percent; spent counts
+	// all of them.
+	returned, spent int
 }
 
 func name(i int) world.NodeID { return world.NodeID(fmt.Sprintf("n%02d", i)) }
@@ -98,6 +101,11 @@
 
 func (s *site) offer(node int) {
 	s.gates[node].Take(customer, func(ok bool, _ time.Duration) {
+		s.spent++
+		if ok && s.spent*37%100 < s.returned {
+			s.gates[node].Return(customer)
+			return
+		}
 		if ok {
 			s.admitted = append(s.admitted, s.clock.Now())
 			return
@@ -152,6 +160,7 @@
 		who := &table.Customer{ID: customer, Rate: rate, Burst: rate}
 		n := rapid.IntRange(2, 14).Draw(t, "nodes")
 		s := newSite(n, who, tolerance)
+		s.returned = rapid.SampledFrom([]int{0, 0, 30, 80}).Draw(t, "returned")
 		s.clock.Run(4 * time.Second)
 		factor := rapid.Float64Range(0.5, 8).Draw(t, "factor")
 		at := s.clock.Now()
@@ -186,6 +195,22 @@
 	})
 }
 
+// TestReturnedTokensAreSpentAgain gives back three tokens of four, as when a service has no
+// room. The rest of the requests, which is the customer's rate, is not refused for that.
+func TestReturnedTokensAreSpentAgain(t *testing.T) {
+	c := qt.New(t)
+	who := &table.Customer{ID: customer, Rate: 40, Burst: 40}
+	s := newSite(6, who, tolerance)
+	s.returned = 75
+	s.clock.Run(3 * time.Second)
+	for i := 0; s.clock.Now() < 23*time.Second; i++ {
+		s.clock.Run(s.clock.Now() + time.Second/160)
+		s.offer(i % 6)
+	}
+	kept := float64(len(s.admitted)) / (20 * 40)
+	c.Assert(kept > 0.9, qt.IsTrue, qt.Commentf("%.2f of the rate was let in", kept))
+}
+
 // TestCutSidesShareOneRate expects that both sides of a cut go on, and that neither is
 // given the whole rate.
 func TestCutSidesShareOneRate(t *testing.T) {
