Let slow endpoints keep calls that they serve in time

Endpoints differ in speed by a factor of two, and a fast far one beat the slow near one although both answer within the target latency.

Change: an endpoint that usually needs no more than 0.4 of the time left to the target counts as fast as any; beyond that its time relative to it decides, as do load and failures. The target latency of the routes decides something now.

--- a/core/mesh/flight.go
+++ b/core/mesh/flight.go
@@ -125,7 +125,7 @@
 	}
 	tried := append([]world.NodeID(nil), f.tried...)
 	f.mu.Unlock()
-	target, ok := n.picker.Pick(f.call.Service, tried)
+	target, ok := n.picker.Pick(place.Want{Service: f.call.Service, Route: f.call.Route, Left: f.timeLeft(), Tried: tried})
 	if !ok && f.askAnew() {
 		return
 	}
@@ -152,6 +152,15 @@
 	f.setCancel(attempt, cancel)
 }
 
+// timeLeft is the time within which the answer is of full use, 0 if there is no such time
+// any more.
+func (f *flight) timeLeft() time.Duration {
+	if f.call.Target == 0 {
+		return 0
+	}
+	return max(f.call.Target-f.n.Clock.Now(), 0)
+}
+
 // askAnew starts another round once all endpoints were tried and some have refused the
 // request themselves.
 func (f *flight) askAnew() bool {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -4,13 +4,13 @@
 //
 //	p := place.New(clock, random, domain, node)
 //	p.Update(endpoints)
-//	e, ok := p.Pick(service, tried)
+//	e, ok := p.Pick(place.Want{Service: service, Route: route, Left: left, Tried: tried})
 //	p.Done(e.Node, place.Outcome{Took: ..., Load: ..., Limit: ...})
 //
 // The load that it answers: endpoints of one service that differ in speed by a factor of
 // three, of which each failure domain has one or a few. Bytes between domains cost and
-// take time, so the own domain comes first; but an endpoint that is slow, loaded or
-// failing loses its calls to others before callers notice.
+// take time, so the own domain comes first; but an endpoint that is loaded or failing, or
+// too slow for the call's target latency, loses its calls to others before callers notice.
 package place
 
 import (
@@ -56,7 +56,20 @@
 	Limit int
 }
 
+// Want is a call that needs an endpoint.
+type Want struct {
+	Service world.ServiceID
+	Route   world.RouteID
+	// Left is the time within which the answer is of full use, 0 if that is not known.
+	Left time.Duration
+	// Tried are the nodes that are not to be asked again.
+	Tried []world.NodeID
+}
+
 const (
+	// comfort is the part of the time left that an endpoint may usually need without
+	// counting as slow: the rest covers the longer calls.
+	comfort = 0.4
 	// farPenalty is how much worse an endpoint of another failure domain counts.
 	farPenalty = 1.5
 	// ownBonus is how much better the upstream of this VM counts: there is no hop.
@@ -155,14 +168,14 @@
 
 // Pick chooses an endpoint that is not among the tried ones and counts a call in
 // flight to it. It returns false if no endpoint is left.
-func (p *Picker) Pick(service world.ServiceID, tried []world.NodeID) (Endpoint, bool) {
+func (p *Picker) Pick(want Want) (Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.usableLocked(service, tried)
+	list := p.usableLocked(want.Service, want.Tried)
 	if len(list) == 0 {
 		return Endpoint{}, false
 	}
-	best := p.drawLocked(list)
+	best := p.drawLocked(list, want)
 	best.inFlight++
 	return best.Endpoint, true
 }
@@ -189,11 +202,11 @@
 
 // drawLocked draws an endpoint at random, a better one much more likely. A firm choice of
 // the best would send the calls of all nodes to the same one at once.
-func (p *Picker) drawLocked(list []*state) *state {
+func (p *Picker) drawLocked(list []*state, want Want) *state {
 	best := math.Inf(1)
 	scores := make([]float64, len(list))
 	for i, s := range list {
-		scores[i] = p.scoreLocked(s)
+		scores[i] = p.scoreLocked(s, want)
 		best = min(best, scores[i])
 	}
 	sum := 0.0
@@ -211,11 +224,17 @@
 	return list[len(list)-1]
 }
 
-// scoreLocked is the expected time of a call, relative to the usual one.
-func (p *Picker) scoreLocked(s *state) float64 {
+// scoreLocked is the expected time of a call, relative to the usual one or, where that is
+// longer, to the time that it may take.
+func (p *Picker) scoreLocked(s *state, want Want) float64 {
 	idle := p.clock.Now() - s.touched
 	fresh := math.Exp(-idle.Seconds() / forgetSlow.Seconds())
 	score := 1 + (s.slowness-1)*fresh
+	if usual, ok := p.usual[want.Route]; ok && want.Left > 0 {
+		if most := comfort * want.Left.Seconds() / usual; most > 1 {
+			score = max(1, score/most)
+		}
+	}
 	score *= 1 + failPenalty*s.failing*fresh
 	score *= crowding(max(s.load, s.inFlight)+1, s.limit)
 	switch {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -26,7 +26,7 @@
 func play(clock *timer.Virtual, p *place.Picker, calls int, end func(e place.Endpoint) place.Outcome) map[world.NodeID]int {
 	counts := map[world.NodeID]int{}
 	for range calls {
-		e, ok := p.Pick("gate", nil)
+		e, ok := p.Pick(place.Want{Service: "gate", Route: "map"})
 		if !ok {
 			counts[""]++
 			continue
@@ -80,6 +80,30 @@
 	}
 }
 
+// TestSlowEndpointIsFastEnough expects that an endpoint of the own domain keeps its calls
+// as long as it is fast enough for their target latency.
+func TestSlowEndpointIsFastEnough(t *testing.T) {
+	c := qt.New(t)
+	for left, isNear := range map[time.Duration]bool{time.Second: true, 60 * time.Millisecond: false, 0: false} {
+		clock := timer.NewVirtual()
+		p := newPicker(clock, endpoint("a", "near"), endpoint("b", "far"), endpoint("c", "far"))
+		near := 0
+		for i := range 1200 {
+			e, _ := p.Pick(place.Want{Service: "gate", Route: "map", Left: left})
+			took := 30 * time.Millisecond
+			if e.Node == "a" {
+				took = 90 * time.Millisecond
+			}
+			if i >= 200 && e.Node == "a" {
+				near++
+			}
+			clock.Run(clock.Now() + 5*time.Millisecond)
+			p.Done(e.Node, good(took))
+		}
+		c.Assert(near > 850, qt.Equals, isNear, qt.Commentf("%d of 1000 with %v left", near, left))
+	}
+}
+
 // TestFullEndpointIsSparedUntilItHasRoom expects the calls back once the node's record,
 // which comes several times a second, tells less load.
 func TestFullEndpointIsSparedUntilItHasRoom(t *testing.T) {
@@ -117,14 +141,14 @@
 	silent := endpoint("a", "near")
 	silent.IsSilent = true
 	p := newPicker(clock, silent, endpoint("b", "far"))
-	_, ok := p.Pick("gate", []world.NodeID{"b"})
+	_, ok := p.Pick(place.Want{Service: "gate", Tried: []world.NodeID{"b"}})
 	c.Assert(ok, qt.IsTrue)
 	counts := play(clock, p, 50, func(place.Endpoint) place.Outcome { return place.Outcome{Failed: true} })
 	c.Assert(counts[""], qt.Equals, 0)
 	p.Done("a", place.Outcome{IsLeaving: true})
 	p.Done("b", place.Outcome{IsLeaving: true})
-	_, ok = p.Pick("gate", nil)
+	_, ok = p.Pick(place.Want{Service: "gate", Route: "map"})
 	c.Assert(ok, qt.IsFalse)
-	_, ok = p.Pick("other", nil)
+	_, ok = p.Pick(place.Want{Service: "other"})
 	c.Assert(ok, qt.IsFalse)
 }
