Soak real sidecars under faults from outside

Cause: the path on the users' platform had no fault soak of its own on real processes.

New setting listen.peerAnnounced: the address that other nodes use for the peer listener, so that a link can stand between.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # `make lint` also fails on a name of the platform outside platform/.
 SEED ?= 1
 
-.PHONY: all build demo test lint bench soak chaos scenarios fuzz loads generate
+.PHONY: all build demo test lint bench soak faults chaos scenarios fuzz loads generate
 
 all: lint test
 
@@ -29,6 +29,11 @@
 soak:
 	WAGTAILYOKE_SOAK=$(SEED) go test -count=1 -timeout 60m -run 'TestSoak' -v ./core/node
 
+# Real sidecars under random faults, SEEDS seeds from the given one on.
+SEEDS ?= 50
+faults:
+	go test ./platform/soak -count=1 -timeout 60m -v -soak.seeds $(SEEDS) -soak.from $(SEED)
+
 # Real processes under kill, freeze and platform outage.
 chaos: build
 	./scripts/chaos.sh
--- a/io/conf/sidecar.go
+++ b/io/conf/sidecar.go
@@ -24,6 +24,9 @@
 	// Calls is for the callers on this VM and its upstream.
 	Calls string `toml:"calls"`
 	Peer  string `toml:"peer"`
+	// PeerAnnounced is where other nodes reach Peer, if not there itself, as behind a
+	// port that is passed on.
+	PeerAnnounced string `toml:"peerAnnounced"`
 	// Ready is where the platform asks whether callers may come.
 	Ready string `toml:"ready"`
 	// Heartbeats is where the upstream announces itself.
@@ -91,6 +94,10 @@
 	c.name("node", "service", s.Node.Service)
 	c.address("listen", "calls", s.Listen.Calls)
 	c.address("listen", "peer", s.Listen.Peer)
+	if s.Listen.PeerAnnounced == "" {
+		s.Listen.PeerAnnounced = s.Listen.Peer
+	}
+	c.address("listen", "peerAnnounced", s.Listen.PeerAnnounced)
 	c.address("listen", "ready", s.Listen.Ready)
 	c.address("listen", "heartbeats", s.Listen.Heartbeats)
 	c.address("listen", "metrics", s.Listen.Metrics)
--- a/io/proc/sidecar.go
+++ b/io/proc/sidecar.go
@@ -123,7 +123,7 @@
 			Name:     world.NodeID(s.Node.Name),
 			Domain:   world.DomainID(s.Node.Domain),
 			Service:  world.ServiceID(s.Node.Service),
-			Peer:     world.Address(s.Listen.Peer),
+			Peer:     world.Address(s.Listen.PeerAnnounced),
 			Upstream: world.Address(s.Upstream.Address),
 			Started:  clock.Wall(),
 		},
