Leave spare slots by the square root of their number

Change: where not all fits, 0.62 times the square root of a service's slots stays free, since what is needed varies by that: 2.6 of 17, 4.4 of 51.

--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -81,9 +81,11 @@
 	// newPart is the part of the requests that must have been told of over costTime for
 	// what was learned to count.
 	newPart = 0.1
-	// targetUse is the part of the slots that may be needed when not all that is asked
-	// fits. Above it the waits in line add up to more than a chain of ten calls can bear.
-	targetUse = 0.85
+	// spareRoot is how many slots are left free when not all that is asked fits, as a
+	// multiple of their square root: chance varies what is needed by that, so waits in
+	// line stay alike for few and many slots. With fewer spare ones they add up to more
+	// than a chain of ten calls can bear.
+	spareRoot = 0.62
 	// mostUse is the part of the slots that may be needed for a while: what callers ask
 	// for varies so much by chance. If it lasts, calls wait in line, which counts too.
 	mostUse = 1.1
@@ -261,7 +263,7 @@
 			waiting = backlog[g] / backlogTime.Seconds()
 		}
 		if above+offered+waiting > mostUse*slots {
-			room := max(targetUse*slots-above-waiting, 0)
+			room := max(slots-spareRoot*math.Sqrt(slots)-above-waiting, 0)
 			return float64(g) + 1 - min(room/offered, 1)
 		}
 		above += offered + waiting
