Split what records say by who needs it; name loads

Cause: from the reading as a newcomer: useRecords sorted seven things in one loop, and `mean` named what is a service's load.

Change: digest and serviceLoad; IsShed takes an importance only, as it has one caller again.

--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -211,7 +211,7 @@
 }
 
 // IsShed decides whether a call of the class goes at the level; draw is uniform in [0, 1).
-func IsShed[C world.Importance | world.Grade](class C, level, draw float64) bool {
+func IsShed(class world.Importance, level, draw float64) bool {
 	boundary := math.Floor(level)
 	if float64(class) != boundary {
 		return float64(class) < boundary
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -127,7 +127,7 @@
 	t.calls++
 }
 
-// Shed counts a call that the upstream refused although it should have had room.
+// Shed counts a call that the upstream refused with no more calls than it has slots.
 func (t *Throttle) Shed() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/mesh/levels.go
+++ b/core/mesh/levels.go
@@ -18,48 +18,50 @@
 // nothing is let in as for any other: if they came with replies, each entry would have to
 // let some requests in to see whether a service still sheds, and those would be shed.
 type pressures struct {
-	mu     sync.Mutex
-	levels map[world.ServiceID]mean
-	reach  *graph.Reach
+	mu    sync.Mutex
+	loads map[world.ServiceID]serviceLoad
+	reach *graph.Reach
 	// table and edges are what reach was made from.
 	table *table.Table
 	edges []graph.Edge
 }
 
-// mean is the mean of the admission levels of a service's endpoints, weighted by their
-// slots, with the slots that the calls to them need.
-type mean struct {
-	sum, weight float64
-	// needs are by grade.
+// serviceLoad sums what a service's endpoints tell.
+type serviceLoad struct {
+	slots float64
+	// levels is the sum of their admission levels, each times its slots.
+	levels float64
+	// needs are the slots that the calls need, by grade.
 	needs []float64
 }
 
-func (m *mean) add(level, weight float64) {
-	m.sum += level * weight
-	m.weight += weight
+func (l *serviceLoad) add(level, slots float64) {
+	l.levels += level * slots
+	l.slots += slots
 }
 
-func (m *mean) addNeeds(needs []float32) {
+func (l *serviceLoad) addNeeds(needs []float32) {
 	for g, need := range needs {
-		if g == len(m.needs) {
-			m.needs = append(m.needs, 0)
+		if g == len(l.needs) {
+			l.needs = append(l.needs, 0)
 		}
-		m.needs[g] += float64(need)
+		l.needs[g] += float64(need)
 	}
 }
 
-func (m *mean) value() float64 {
-	if m.weight == 0 {
+// level is the mean of the endpoints' levels.
+func (l *serviceLoad) level() float64 {
+	if l.slots == 0 {
 		return 0
 	}
-	return m.sum / m.weight
+	return l.levels / l.slots
 }
 
-// setLevels takes in the levels of the other nodes.
-func (p *pressures) setLevels(levels map[world.ServiceID]mean) {
+// setLoads takes in what the endpoints of the other nodes tell, by service.
+func (p *pressures) setLoads(loads map[world.ServiceID]serviceLoad) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.levels = levels
+	p.loads = loads
 }
 
 // setGraph takes in the call graph.
@@ -75,10 +77,10 @@
 
 func isSameCall(a, b graph.Edge) bool { return a.Route == b.Route && a.Child == b.Child }
 
-func (p *pressures) of(service world.ServiceID) mean {
+func (p *pressures) of(service world.ServiceID) serviceLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.levels[service]
+	return p.loads[service]
 }
 
 func (p *pressures) reached(route world.RouteID) []world.ServiceID {
@@ -94,12 +96,12 @@
 // that calls several of them would else meet the highest level, which is above what the
 // service as a whole needs.
 func (n *Node) serviceLevel(service world.ServiceID) float64 {
-	m := n.pressures.of(service)
+	load := n.pressures.of(service)
 	if service == n.callerService() {
 		_, _, limit := n.line.Counts()
-		m.add(n.line.Level(), float64(limit))
+		load.add(n.line.Level(), float64(limit))
 	}
-	return m.value()
+	return load.level()
 }
 
 // reachedLevel is the admission level of a service that a request reaches.
@@ -187,9 +189,9 @@
 
 // useOf is the part of a service's slots that the calls need.
 func (n *Node) useOf(service world.ServiceID) float64 {
-	m := n.pressures.of(service)
-	need, slots := 0.0, m.weight
-	for _, grade := range m.needs {
+	load := n.pressures.of(service)
+	need, slots := 0.0, load.slots
+	for _, grade := range load.needs {
 		need += grade
 	}
 	if service == n.callerService() {
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -8,6 +8,7 @@
 
 	"wagtailyoke/core/admit"
 	"wagtailyoke/core/event"
+	"wagtailyoke/core/fleet"
 	"wagtailyoke/core/invar"
 	"wagtailyoke/core/place"
 	"wagtailyoke/core/share"
@@ -236,60 +237,87 @@
 	n.exchangeSoon()
 }
 
+// digest is what the records of all nodes say, sorted by who needs it.
+type digest struct {
+	self    world.NodeID
+	service world.ServiceID
+
+	records   []*wire.FleetRecord
+	endpoints []place.Endpoint
+	peers     []share.Peer
+	// loads are of the endpoints of the other nodes, offers of the other entries.
+	loads  map[world.ServiceID]serviceLoad
+	offers []admit.Offer
+	// rates are the calls a second that each service gets.
+	rates map[world.ServiceID]float64
+}
+
+func (d *digest) take(node fleet.Node) {
+	r := node.Record
+	d.records = append(d.records, r)
+	if !node.IsSilent {
+		d.rates[world.ServiceID(r.GetService())] += float64(r.GetArrivals())
+	}
+	if r.GetNode() != string(d.self) {
+		d.takeOther(node)
+	}
+	if !hasEndpoint(r) {
+		return
+	}
+	d.endpoints = append(d.endpoints, place.Endpoint{
+		Node:        world.NodeID(r.GetNode()),
+		Domain:      world.DomainID(r.GetDomain()),
+		Service:     world.ServiceID(r.GetService()),
+		Peer:        world.Address(r.GetPeerAddress()),
+		Instance:    world.InstanceID(r.GetUpstream().GetInstance()),
+		Incarnation: r.GetIncarnation(),
+		IsSilent:    node.IsSilent,
+		Load:        int(r.GetRunning() + r.GetQueued()),
+		Limit:       int(r.GetLimit()),
+	})
+}
+
+// hasEndpoint reports whether a node's upstream takes calls.
+func hasEndpoint(r *wire.FleetRecord) bool {
+	return r.GetUpstream().GetState() == wire.NodeState_NODE_STATE_READY && !r.GetLeaving()
+}
+
+func (d *digest) takeOther(node fleet.Node) {
+	r := node.Record
+	d.peers = append(d.peers, share.Peer{
+		Node:      world.NodeID(r.GetNode()),
+		Age:       node.Age,
+		IsLeaving: r.GetStopping(),
+	})
+	if node.IsSilent {
+		return
+	}
+	d.offers = addOffers(d.offers, r.GetOffers(), d.service)
+	if hasEndpoint(r) {
+		load := d.loads[world.ServiceID(r.GetService())]
+		load.add(r.GetLevel(), float64(r.GetLimit()))
+		load.addNeeds(r.GetNeeds())
+		d.loads[world.ServiceID(r.GetService())] = load
+	}
+}
+
 // useRecords takes in what the records of other nodes say.
 func (n *Node) useRecords() {
+	d := digest{
+		self: n.Info.Name, service: n.callerService(),
+		loads: map[world.ServiceID]serviceLoad{}, rates: map[world.ServiceID]float64{},
+	}
 	nodes := n.view.Nodes()
-	endpoints := make([]place.Endpoint, 0, len(nodes))
-	peers := make([]share.Peer, 0, len(nodes))
-	levels := map[world.ServiceID]mean{}
-	records := make([]*wire.FleetRecord, 0, len(nodes))
-	var offers []admit.Offer
-	rates := map[world.ServiceID]float64{}
 	for _, node := range nodes {
-		r := node.Record
-		records = append(records, r)
-		if !node.IsSilent {
-			rates[world.ServiceID(r.GetService())] += float64(r.GetArrivals())
-		}
-		if r.GetNode() != string(n.Info.Name) && !node.IsSilent {
-			offers = addOffers(offers, r.GetOffers(), n.callerService())
-		}
-		if r.GetNode() != string(n.Info.Name) {
-			peers = append(peers, share.Peer{
-				Node:      world.NodeID(r.GetNode()),
-				Age:       node.Age,
-				IsLeaving: r.GetStopping(),
-			})
-		}
-		u := r.GetUpstream()
-		if u.GetState() != wire.NodeState_NODE_STATE_READY || r.GetLeaving() {
-			continue
-		}
-		if r.GetNode() != string(n.Info.Name) && !node.IsSilent {
-			m := levels[world.ServiceID(r.GetService())]
-			m.add(r.GetLevel(), float64(r.GetLimit()))
-			m.addNeeds(r.GetNeeds())
-			levels[world.ServiceID(r.GetService())] = m
-		}
-		endpoints = append(endpoints, place.Endpoint{
-			Node:        world.NodeID(r.GetNode()),
-			Domain:      world.DomainID(r.GetDomain()),
-			Service:     world.ServiceID(r.GetService()),
-			Peer:        world.Address(r.GetPeerAddress()),
-			Instance:    world.InstanceID(u.GetInstance()),
-			Incarnation: r.GetIncarnation(),
-			IsSilent:    node.IsSilent,
-			Load:        int(r.GetRunning() + r.GetQueued()),
-			Limit:       int(r.GetLimit()),
-		})
+		d.take(node)
 	}
-	n.pressures.setLevels(levels)
-	own := levels[n.callerService()]
-	n.line.SetOthers(own.needs, own.weight)
-	n.heedOffers(offers)
-	n.learnGraph(records)
-	n.picker.Update(endpoints)
-	n.gate.SetPeers(peers)
+	n.pressures.setLoads(d.loads)
+	own := d.loads[d.service]
+	n.line.SetOthers(own.needs, own.slots)
+	n.heedOffers(d.offers)
+	n.learnGraph(d.records)
+	n.picker.Update(d.endpoints)
+	n.gate.SetPeers(d.peers)
 	n.budgets.SetNodes(len(nodes))
-	n.budgets.SetRates(rates)
+	n.budgets.SetRates(d.rates)
 }
