Say fading, settings and levels once

The smoothing of figures stood six times in three packages; sidecar settings repeated how a settings file is read and checked; each request summed up the whole line to learn a level that moves ten times a second at most.

No change of behaviour; sums of needs are added in another order, a rounding.

--- a/core/admit/line.go
+++ b/core/admit/line.go
@@ -95,6 +95,10 @@
 
 // Level returns the admission level, see Throttle.
 func (l *Line) Level() float64 {
+	// Each request asks for the level, which moves a few times a second.
+	if level, isOver := l.level.last(); !isOver {
+		return level
+	}
 	l.mu.Lock()
 	slots := l.limit
 	var backlog []float64
--- a/core/admit/offers.go
+++ b/core/admit/offers.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -56,12 +55,12 @@
 func (o *Offers) Turn() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	elapsed := (o.clock.Now() - o.start).Seconds()
-	if elapsed <= 0 {
+	passed := o.clock.Now() - o.start
+	if passed <= 0 {
 		return
 	}
 	o.start = o.clock.Now()
-	weight := 1 - math.Exp(-elapsed/offerTime.Seconds())
+	weight, elapsed := 1-timer.Fading(passed, offerTime), passed.Seconds()
 	for s, list := range o.services {
 		isUsed := false
 		for i := range list {
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -181,6 +181,13 @@
 	return t.rate
 }
 
+// last returns the level of the running window, and whether that is over.
+func (t *Throttle) last() (level float64, isOver bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.value, t.clock.Now()-t.start >= throttleWindow
+}
+
 // Value returns the level for a line with the given slots and the work in line by grade,
 // in seconds.
 func (t *Throttle) Value(slots int, backlog []float64) float64 {
@@ -199,8 +206,8 @@
 
 // measureLocked takes in the window that ends now.
 func (t *Throttle) measureLocked(elapsed time.Duration) {
-	weight := 1 - math.Exp(-elapsed.Seconds()/needTime.Seconds())
-	slowWeight := 1 - math.Exp(-elapsed.Seconds()/costTime.Seconds())
+	weight := 1 - timer.Fading(elapsed, needTime)
+	slowWeight := 1 - timer.Fading(elapsed, costTime)
 	t.rate += weight * (t.calls/elapsed.Seconds() - t.rate)
 	for g := range t.grades {
 		d := &t.grades[g]
--- a/core/mesh/flight.go
+++ b/core/mesh/flight.go
@@ -295,14 +295,15 @@
 	if t := f.n.table.Load(); t != nil && t.Grades > 0 {
 		place = (float64(f.call.Grade) + f.call.Draw) / float64(t.Grades)
 	}
-	if f.chain != nil && f.chain.isBacked.Load() {
+	switch {
+	case f.chain == nil:
+		return mostNested + (1-mostNested)*place
+	case f.chain.isBacked.Load():
 		// What was spent for the run so far would else be lost.
 		return backed
-	}
-	if f.chain != nil {
+	default:
 		return mostNested * place
 	}
-	return mostNested + (1-mostNested)*place
 }
 
 func reasonOf(r *world.Reply) world.Code {
--- a/core/mesh/levels.go
+++ b/core/mesh/levels.go
@@ -190,16 +190,10 @@
 // useOf is the part of a service's slots that the calls need.
 func (n *Node) useOf(service world.ServiceID) float64 {
 	load := n.pressures.of(service)
-	need, slots := 0.0, load.slots
-	for _, grade := range load.needs {
-		need += grade
-	}
+	need, slots := total(load.needs), load.slots
 	if service == n.callerService() {
 		_, _, limit := n.line.Counts()
-		slots += float64(limit)
-		for _, grade := range n.line.Needs() {
-			need += grade
-		}
+		need, slots = need+total(n.line.Needs()), slots+float64(limit)
 	}
 	if slots == 0 {
 		return 0
@@ -207,6 +201,14 @@
 	return need / slots
 }
 
+func total(needs []float64) float64 {
+	sum := 0.0
+	for _, need := range needs {
+		sum += need
+	}
+	return sum
+}
+
 func addOffers(sum []admit.Offer, offers []*wire.ServiceOffer, service world.ServiceID) []admit.Offer {
 	for _, o := range offers {
 		if o.GetService() != string(service) || len(o.GetAsked()) != len(o.GetLetIn()) {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -228,7 +228,7 @@
 // longer, to the time that it may take.
 func (p *Picker) scoreLocked(s *state, want Want) float64 {
 	idle := p.clock.Now() - s.touched
-	fresh := math.Exp(-idle.Seconds() / forgetSlow.Seconds())
+	fresh := timer.Fading(idle, forgetSlow)
 	score := 1 + (s.slowness-1)*fresh
 	if usual, ok := p.usual[want.Route]; ok && want.Left > 0 {
 		if most := comfort * want.Left.Seconds() / usual; most > 1 {
@@ -285,7 +285,7 @@
 }
 
 func (p *Picker) judgeLocked(s *state, o Outcome, now time.Duration) {
-	fresh := math.Exp(-(now - s.touched).Seconds() / forgetSlow.Seconds())
+	fresh := timer.Fading(now-s.touched, forgetSlow)
 	s.slowness = 1 + (s.slowness-1)*fresh
 	s.failing *= fresh
 	s.touched = now
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -212,7 +212,7 @@
 		return
 	}
 	g.measured = now
-	weight := 1 - math.Exp(-elapsed.Seconds()/demandTime.Seconds())
+	weight := 1 - timer.Fading(elapsed, demandTime)
 	for _, a := range g.customers {
 		a.demand += weight * (a.asked/elapsed.Seconds() - a.demand)
 		a.asked = 0
--- /dev/null
+++ b/core/timer/fading.go
@@ -0,0 +1,12 @@
+package timer
+
+import (
+	"math"
+	"time"
+)
+
+// Fading is the part of a smoothed figure that is left after a time. The rest is the
+// weight of what was measured meanwhile.
+func Fading(elapsed, constant time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / constant.Seconds())
+}
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -102,22 +102,24 @@
 func (f *Faults) Is(target error) bool { return target == ErrInvalid }
 
 // Load reads and checks a settings file.
-func Load(file string) (*Settings, error) {
+func Load(file string) (*Settings, error) { return load(file, Parse) }
+
+// load reads a settings file and parses its text.
+func load[S any](file string, parse func(file string, text []byte) (*S, error)) (*S, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Wrap(ErrInvalid, err.Error())
 	}
-	return Parse(file, text)
+	return parse(file, text)
 }
 
-// Parse checks the text of a settings file.
-func Parse(file string, text []byte) (*Settings, error) {
-	s := &Settings{}
+// parse decodes the text of a settings file and checks what it says.
+func parse[S any](file string, text []byte, check func(c *checker, s *S)) (*S, error) {
+	s := new(S)
 	c := &checker{text: string(text)}
 	c.decode(s)
 	if len(c.faults) == 0 {
-		s.setDefaults()
-		c.check(s)
+		check(c, s)
 	}
 	if len(c.faults) > 0 {
 		return nil, &Faults{File: file, List: c.faults}
@@ -125,6 +127,14 @@
 	return s, nil
 }
 
+// Parse checks the text of a settings file.
+func Parse(file string, text []byte) (*Settings, error) {
+	return parse(file, text, func(c *checker, s *Settings) {
+		s.setDefaults()
+		c.check(s)
+	})
+}
+
 func (s *Settings) setDefaults() {
 	setDefault(&s.Platform.TimeoutMs, defaultTimeoutMs)
 	setDefault(&s.Fleet.StopSeconds, defaultStopSeconds)
--- a/io/conf/sidecar.go
+++ b/io/conf/sidecar.go
@@ -1,11 +1,6 @@
 package conf
 
-import (
-	"fmt"
-	"os"
-
-	"github.com/pkg/errors"
-)
+import "fmt"
 
 // Sidecar holds the settings of a node of a mesh, see `wagtailyoke sidecar`.
 type Sidecar struct {
@@ -66,26 +61,11 @@
 }
 
 // LoadSidecar reads and checks a settings file of a sidecar.
-func LoadSidecar(file string) (*Sidecar, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, errors.Wrap(ErrInvalid, err.Error())
-	}
-	return ParseSidecar(file, text)
-}
+func LoadSidecar(file string) (*Sidecar, error) { return load(file, ParseSidecar) }
 
 // ParseSidecar checks the text of a settings file of a sidecar.
 func ParseSidecar(file string, text []byte) (*Sidecar, error) {
-	s := &Sidecar{}
-	c := &checker{text: string(text)}
-	c.decode(s)
-	if len(c.faults) == 0 {
-		c.checkSidecar(s)
-	}
-	if len(c.faults) > 0 {
-		return nil, &Faults{File: file, List: c.faults}
-	}
-	return s, nil
+	return parse(file, text, (*checker).checkSidecar)
 }
 
 func (c *checker) checkSidecar(s *Sidecar) {
