Let records travel when they change, and pulses end at the relay

Cause: every node got the records of all nodes four times a second, since load, level, needs and offers change in each, and each answer between relays held those of all failure domains. Each answer also built the digest of all records anew.

Change: core/fleet. A record holds what seldom changes and travels when it does. A pulse holds load, level, needs, offers; it ends at the relay, which reports sums by service and the keys of the nodes that it hears. Relays trade reports, a node gets the sums and uses of the services that it needs and the loads of endpoints of its failure domain. A key is made from the newest record, so news that was lost is found. A node that is gone is asked again beside the relay, not in its place: before, each node lost an exchange a second to it. core/mesh makes endpoints and call graph anew only when a record changed, core/share parts and homes only when a node's age passes a bound. core/place takes an endpoint of which nothing was heard for a second to be as busy as its service in that failure domain.

TestFullEndpointIsSpared... got its load from a record, which holds none any more: it takes it from SetLoads now. TestRelayIsTheFirstThatAnswers expected a node to leave its relay for one that had failed; it expects now that this one is asked beside it and takes over once it has answered.

A relay still serves its failure domain alone.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,20 +1,34 @@
-// Package fleet keeps what the nodes of a deployment say about themselves. Each node
-// says it in a record; records spread from node to node, and the newest of each wins.
+// Package fleet keeps what the nodes of a deployment say about themselves, at a cost to
+// each node that does not rise with their number.
+//
+// What seldom changes, such as a node's address, is in its record. Records spread from
+// node to node when they change, and the newest of each wins. What changes all the time,
+// such as load, is in a node's pulse, which goes no further than the relay of its failure
+// domain. The relay adds the pulses up by service and reports the sums, and which nodes it
+// hears, to the other relays; its own nodes get the sums of the services that they need.
 //
 // # Usage
 //
-//	v := fleet.New(clock, self)
-//	v.SetSelf(func(r *wire.FleetRecord) { r.Running = 3 })
-//	reply := v.Answer(request)        // at the node that is asked
-//	v.Take(reply.GetRecords())        // at the node that asked
-//	peers := v.Targets()              // whom to ask next
+//	v := fleet.New(clock, self, options)
+//	v.SetSelf(func(r *wire.FleetRecord) { r.Limit = 3 })
+//	v.SetPulse(pulse)
+//	for _, name := range v.Targets() { // whom to ask next
+//		req, index := v.Ask(name, needs)
+//		reply := ...               // v.Answer(req) at the node that is asked
+//		v.Answered(name, req, reply, index)
+//	}
+//	nodes, sums := v.Nodes(), v.Sums()
 //
 // Within a failure domain all nodes ask the same node, the relay, which is the first by
-// name that answers. Relays ask each other. The role needs no agreement: two relays cost
-// some messages and nothing else.
+// name that answers (relay.go). Relays ask each other. The role needs no agreement: two
+// relays cost some messages and nothing else.
+//
+// News that is lost is found by the keys of the nodes that a relay hears: a key is made
+// from the newest record, so a node that does not know it asks for all records.
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -26,13 +40,15 @@
 	"wagtailyoke/core/world"
 )
 
-// Ages of what is known about a node, as multiples of the time between exchanges.
+// Times as multiples of the time between exchanges.
 const (
-	// silentAfter is the age of a record from which its node counts as out of reach:
+	// silentAfter is how long ago a node must have been heard of to count as out of reach:
 	// three hops between nodes, each up to one exchange period, and one exchange lost.
 	silentAfter = 5
-	// relayRetry is how long a relay that did not answer is passed over.
+	// relayRetry is how long a node that did not answer is not asked again.
 	relayRetry = 4
+	// resyncEvery is the least time between two requests for all records.
+	resyncEvery = 4
 )
 
 // Options are the settings of a View.
@@ -50,18 +66,46 @@
 
 	mu    sync.Mutex
 	self  *wire.FleetRecord
+	pulse *wire.Pulse
 	nodes map[world.NodeID]*member
-	// index counts changes of records; a peer remembers up to which it has them.
+	// order holds the nodes by name, keys by the key of their newest record.
+	order []*member
+	keys  map[uint32]*member
+	// domains holds the nodes of each failure domain by name.
+	domains map[string][]*member
+	// index counts changes of records and of who is heard; a peer remembers up to which
+	// it has them.
 	index uint64
+	// version counts changes of records and of silence.
+	version uint64
+	// own is the report of this node, reports are those of others, total adds up those that
+	// count.
+	own     *report
+	reports map[world.NodeID]*report
+	total   Sums
+	// sums are of the other nodes, as the relay told at an instant, loads of endpoints.
+	sums   Sums
+	loads  map[world.NodeID]int
+	summed time.Duration
+	// turn is where the next list of loads begins.
+	turn int
 }
 
 // member is one node with its newest record.
 type member struct {
 	record *wire.FleetRecord
+	key    uint32
 	// index is the view's index of the record's last change.
 	index uint64
-	// heard is when the record last rose.
+	// heard is when the node was last alive, as far as is known.
 	heard time.Duration
+	// pulse came from the node itself, at an instant.
+	pulse  *wire.Pulse
+	pulsed time.Duration
+	// counted is the pulse that this node's own report holds, nil if it holds none.
+	counted *wire.Pulse
+	// wasSilent is the silence that the view's version counts.
+	wasSilent bool
 	// listed means that the platform lists the node.
 	listed bool
 	// failed is when the node last did not answer an exchange, and 0 if it did since.
@@ -71,35 +115,89 @@
 	sinceIncarnation uint64
 	// sent is the own index up to which the node has this node's news.
 	sent uint64
+	// resynced is when the node was last asked for all records, 0 if it was not.
+	resynced time.Duration
 }
 
 // New returns a view that knows only its own node.
 func New(clock timer.Service, self *wire.FleetRecord, options Options) *View {
-	v := &View{clock: clock, options: options, self: self, nodes: map[world.NodeID]*member{}}
+	v := &View{
+		clock: clock, options: options, self: self, pulse: &wire.Pulse{},
+		nodes: map[world.NodeID]*member{}, keys: map[uint32]*member{}, domains: map[string][]*member{},
+		reports: map[world.NodeID]*report{},
+	}
 	v.bumpSelf()
 	return v
 }
 
 func (v *View) bumpSelf() {
 	v.self.Sequence++
-	v.index++
-	name := world.NodeID(v.self.GetNode())
+	v.keepLocked(proto.Clone(v.self).(*wire.FleetRecord))
+}
+
+// keepLocked puts a record in the place of an older one.
+func (v *View) keepLocked(r *wire.FleetRecord) *member {
+	name := world.NodeID(r.GetNode())
 	m := v.nodes[name]
 	if m == nil {
 		m = &member{}
 		v.nodes[name] = m
+	} else {
+		v.takeOutLocked(m)
 	}
-	m.record = proto.Clone(v.self).(*wire.FleetRecord)
-	m.index = v.index
+	v.index++
+	v.version++
+	m.record, m.index, m.key = r, v.index, KeyOf(r)
 	m.heard = v.clock.Now()
+	v.keys[m.key] = m
+	v.order = insert(v.order, m)
+	v.domains[r.GetDomain()] = insert(v.domains[r.GetDomain()], m)
+	return m
+}
+
+// takeOutLocked takes a node out of the lists that its record decides on.
+func (v *View) takeOutLocked(m *member) {
+	if v.keys[m.key] == m {
+		delete(v.keys, m.key)
+	}
+	isIt := func(other *member) bool { return other == m }
+	v.order = slices.DeleteFunc(v.order, isIt)
+	domain := m.record.GetDomain()
+	v.domains[domain] = slices.DeleteFunc(v.domains[domain], isIt)
+	if len(v.domains[domain]) == 0 {
+		delete(v.domains, domain)
+	}
+}
+
+func (v *View) forgetLocked(m *member) {
+	v.takeOutLocked(m)
+	delete(v.nodes, world.NodeID(m.record.GetNode()))
+	delete(v.reports, world.NodeID(m.record.GetNode()))
+	v.version++
+}
+
+// insert puts a node into a list by name.
+func insert(list []*member, m *member) []*member {
+	at := sort.Search(len(list), func(i int) bool { return list[i].record.GetNode() >= m.record.GetNode() })
+	return slices.Insert(list, at, m)
 }
 
 // SetSelf changes the own record.
 func (v *View) SetSelf(change func(*wire.FleetRecord)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	old := proto.Clone(v.self)
 	change(v.self)
-	v.bumpSelf()
+	if !proto.Equal(old, v.self) {
+		v.bumpSelf()
+	}
+}
+
+// SetPulse changes what this node's relay is told.
+func (v *View) SetPulse(p *wire.Pulse) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.pulse = p
 }
 
 // Self returns a copy of the own record.
@@ -156,21 +254,15 @@
 		v.outliveLocked(r)
 		return false
 	}
-	m := v.nodes[name]
-	if m == nil {
-		m = &member{}
-		v.nodes[name] = m
-	}
-	if m.record != nil && !isNewer(r, m.record) {
+	old := v.nodes[name]
+	if old != nil && !isNewer(r, old.record) {
 		return false
 	}
-	if m.record != nil && m.record.GetIncarnation() != r.GetIncarnation() {
-		m.failed, m.since, m.sinceIncarnation, m.sent = 0, 0, 0, 0
+	isOther := old != nil && old.record.GetIncarnation() != r.GetIncarnation()
+	m := v.keepLocked(r)
+	if isOther {
+		m.failed, m.since, m.sinceIncarnation, m.sent, m.pulse = 0, 0, 0, 0, nil
 	}
-	v.index++
-	m.record = r
-	m.index = v.index
-	m.heard = v.clock.Now()
 	return true
 }
 
@@ -209,131 +301,105 @@
 	if req.GetSinceIncarnation() != v.self.GetIncarnation() {
 		since = 0
 	}
-	return &wire.ExchangeReply{
-		Index:        v.index,
-		Incarnation:  v.self.GetIncarnation(),
-		Records:      v.changedLocked(since, world.NodeID(req.GetNode())),
-		TableVersion: v.self.GetTableVersion(),
+	reply := &wire.ExchangeReply{
+		Incarnation: v.self.GetIncarnation(),
+		LacksSender: !v.hearLocked(req),
 	}
+	v.reportLocked(req, reply, since)
+	reply.Index = v.index
+	reply.Records = v.changedLocked(since, world.NodeID(req.GetNode()))
+	return reply
+}
+
+// hearLocked notes that a node has asked. It reports whether its newest record is known.
+func (v *View) hearLocked(req *wire.ExchangeRequest) bool {
+	m := v.nodes[world.NodeID(req.GetNode())]
+	if m == nil || m.record.GetIncarnation() != req.GetIncarnation() {
+		return false
+	}
+	m.heard = v.clock.Now()
+	if req.GetPulse() != nil {
+		m.pulse, m.pulsed = req.GetPulse(), m.heard
+	}
+	return m.record.GetSequence() >= req.GetSequence()
 }
 
 func (v *View) changedLocked(since uint64, but world.NodeID) []*wire.FleetRecord {
 	var records []*wire.FleetRecord
-	for name, m := range v.nodes {
-		if m.index > since && name != but {
+	for _, m := range v.order {
+		if m.index > since && m.record.GetNode() != string(but) {
 			records = append(records, m.record)
 		}
 	}
-	sort.Slice(records, func(i, j int) bool { return records[i].GetNode() < records[j].GetNode() })
 	return records
 }
 
-// Ask builds the request for a node. A relay brings the news of its failure domain to
-// the relays of others; every other node brings its own record only.
-func (v *View) Ask(name world.NodeID) (req *wire.ExchangeRequest, index uint64) {
+// Ask builds the request for a node; needs are the services that this node calls. A relay
+// brings the news of its failure domain to the relays of others; every other node brings
+// its own record only.
+func (v *View) Ask(name world.NodeID, needs []world.ServiceID) (req *wire.ExchangeRequest, index uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	req = &wire.ExchangeRequest{Node: v.self.GetNode(), TableVersion: v.self.GetTableVersion()}
+	req = &wire.ExchangeRequest{Node: v.self.GetNode(), Incarnation: v.self.GetIncarnation(), Sequence: v.self.GetSequence()}
 	m := v.nodes[name]
 	if m == nil {
 		return req, 0
 	}
 	req.Since, req.SinceIncarnation = m.since, m.sinceIncarnation
+	isFar := m.record.GetDomain() != v.self.GetDomain()
 	for _, r := range v.changedLocked(m.sent, name) {
-		if r.GetNode() == v.self.GetNode() || m.record.GetDomain() != v.self.GetDomain() && r.GetDomain() == v.self.GetDomain() {
+		if r.GetNode() == v.self.GetNode() || isFar && r.GetDomain() == v.self.GetDomain() {
 			req.Records = append(req.Records, r)
 		}
 	}
-	return req, v.index
-}
-
-// Answered takes in the answer of a node to a request that held news up to an index.
-func (v *View) Answered(name world.NodeID, reply *wire.ExchangeReply, index uint64) bool {
-	v.mu.Lock()
-	if m := v.nodes[name]; m != nil {
-		m.failed = 0
-		m.since, m.sinceIncarnation = reply.GetIndex(), reply.GetIncarnation()
-		m.sent = max(m.sent, index)
-	}
-	v.mu.Unlock()
-	return v.Take(reply.GetRecords())
-}
-
-// Failed notes that a node did not answer an exchange.
-func (v *View) Failed(name world.NodeID) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if m := v.nodes[name]; m != nil {
-		m.failed = v.clock.Now()
+	if isFar {
+		req.Misses = v.missesLocked(m.record.GetDomain())
+		return req, v.index
 	}
-}
-
-// Targets returns the nodes to exchange with: the relay of the own failure domain, and
-// if this node is the relay, those of all others.
-func (v *View) Targets() []world.NodeID {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	self := world.NodeID(v.self.GetNode())
-	own := v.relayLocked(v.self.GetDomain())
-	if own != self {
-		return []world.NodeID{own}
-	}
-	var targets []world.NodeID
-	for _, domain := range v.domainsLocked() {
-		if domain == v.self.GetDomain() {
-			continue
-		}
-		if relay := v.relayLocked(domain); relay != "" {
-			targets = append(targets, relay)
+	req.Pulse = v.pulse
+	req.Needs = append(req.Needs, v.self.GetService())
+	for _, service := range needs {
+		if string(service) != v.self.GetService() {
+			req.Needs = append(req.Needs, string(service))
 		}
 	}
-	return targets
+	return req, v.index
 }
 
-// IsRelay reports whether this node is the relay of its failure domain.
-func (v *View) IsRelay() bool {
+// Answered takes in the answer of a node to a request that held news up to an index. It
+// reports whether a record was news.
+func (v *View) Answered(name world.NodeID, req *wire.ExchangeRequest, reply *wire.ExchangeReply, index uint64) bool {
+	isNews := v.Take(reply.GetRecords())
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.relayLocked(v.self.GetDomain()) == world.NodeID(v.self.GetNode())
-}
-
-func (v *View) domainsLocked() []string {
-	seen := map[string]bool{}
-	var domains []string
-	for _, m := range v.nodes {
-		if d := m.record.GetDomain(); !seen[d] {
-			seen[d] = true
-			domains = append(domains, d)
-		}
+	m := v.nodes[name]
+	if m == nil {
+		return isNews
+	}
+	isOther := m.sinceIncarnation != 0 && m.sinceIncarnation != reply.GetIncarnation()
+	m.failed = 0
+	m.since, m.sinceIncarnation = reply.GetIndex(), reply.GetIncarnation()
+	if isOther || reply.GetLacksSender() {
+		m.sent = 0
+	} else {
+		m.sent = max(m.sent, index)
 	}
-	sort.Strings(domains)
-	return domains
+	if !v.takeReportsLocked(reply.GetReports(), req.GetNeeds()) {
+		v.resyncLocked(m)
+	}
+	if m.record.GetDomain() == v.self.GetDomain() {
+		v.takeSumsLocked(reply)
+	}
+	return isNews
 }
 
-// relayLocked is the first node of a domain that has not just failed to answer. If all
-// have, it is the one that failed first, since that one is due again.
-func (v *View) relayLocked(domain string) world.NodeID {
-	var best, fallback world.NodeID
-	var failed time.Duration
+// resyncLocked makes the next request to a node ask for all records.
+func (v *View) resyncLocked(m *member) {
 	now := v.clock.Now()
-	for name, m := range v.nodes {
-		if m.record.GetDomain() != domain || m.record.GetStopping() && name != world.NodeID(v.self.GetNode()) {
-			continue
-		}
-		if m.failed > 0 && now-m.failed < relayRetry*v.options.Period {
-			if fallback == "" || m.failed < failed || m.failed == failed && name < fallback {
-				fallback, failed = name, m.failed
-			}
-			continue
-		}
-		if best == "" || name < best {
-			best = name
-		}
-	}
-	if best == "" {
-		return fallback
+	if m.resynced > 0 && now-m.resynced < resyncEvery*v.options.Period {
+		return
 	}
-	return best
+	m.resynced, m.since = now, 0
 }
 
 // Node is a node with the age of what is known about it.
@@ -351,20 +417,32 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
-	nodes := make([]Node, 0, len(v.nodes))
-	for name, m := range v.nodes {
-		age := now - m.heard
-		nodes = append(nodes, Node{
-			Record:   m.record,
-			Age:      age,
-			IsSilent: name != world.NodeID(v.self.GetNode()) && age > silentAfter*v.options.Period,
-			IsListed: m.listed,
-		})
-	}
-	sort.Slice(nodes, func(i, j int) bool { return nodes[i].Record.GetNode() < nodes[j].Record.GetNode() })
+	nodes := make([]Node, 0, len(v.order))
+	for _, m := range v.order {
+		nodes = append(nodes, Node{Record: m.record, Age: now - m.heard, IsSilent: v.isSilentLocked(m, now), IsListed: m.listed})
+	}
 	return nodes
 }
 
+func (v *View) isSilentLocked(m *member, now time.Duration) bool {
+	return m.record.GetNode() != v.self.GetNode() && now-m.heard > silentAfter*v.options.Period
+}
+
+// Version rises when a record changes, when a node is forgotten, and when one becomes
+// silent or is heard again.
+func (v *View) Version() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	for _, m := range v.order {
+		if isSilent := v.isSilentLocked(m, now); isSilent != m.wasSilent {
+			m.wasSilent = isSilent
+			v.version++
+		}
+	}
+	return v.version
+}
+
 // AddressOf returns the peer address of a node.
 func (v *View) AddressOf(name world.NodeID) (world.Address, bool) {
 	v.mu.Lock()
@@ -382,16 +460,15 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
-	for name, m := range v.nodes {
-		if name == world.NodeID(v.self.GetNode()) || now-m.heard < v.options.Forget {
+	for _, m := range slices.Clone(v.order) {
+		if m.record.GetNode() == v.self.GetNode() || now-m.heard < v.options.Forget {
 			continue
 		}
 		if !m.listed {
-			delete(v.nodes, name)
+			v.forgetLocked(m)
 			continue
 		}
 		abandoned = append(abandoned, m.record)
 	}
-	sort.Slice(abandoned, func(i, j int) bool { return abandoned[i].GetNode() < abandoned[j].GetNode() })
 	return abandoned
 }
--- /dev/null
+++ b/core/fleet/relay.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"wagtailyoke/core/world"
+)
+
+// Targets returns the nodes to exchange with: the relay of the own failure domain, and if this
+// node is the relay, those of all others. Nodes that did not answer are asked again beside them:
+// waiting for one that is gone must not keep this one's news from the others.
+func (v *View) Targets() []world.NodeID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var targets []world.NodeID
+	isRelay := v.isRelayLocked()
+	for _, domain := range slices.Sorted(maps.Keys(v.domains)) {
+		isOwn := domain == v.self.GetDomain()
+		if !isOwn && !isRelay {
+			continue
+		}
+		relay := v.relayLocked(domain)
+		if relay != "" && relay != world.NodeID(v.self.GetNode()) {
+			targets = append(targets, relay)
+		}
+		if due := v.dueLocked(domain, relay); due != "" {
+			targets = append(targets, due)
+		}
+	}
+	return targets
+}
+
+// IsRelay reports whether this node is the relay of its failure domain.
+func (v *View) IsRelay() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.isRelayLocked()
+}
+
+func (v *View) isRelayLocked() bool {
+	return v.relayLocked(v.self.GetDomain()) == world.NodeID(v.self.GetNode())
+}
+
+// relayLocked is the first node of a domain that answered when it was last asked. If none did,
+// it is the one that failed first, since that one is due again.
+func (v *View) relayLocked(domain string) world.NodeID {
+	var fallback *member
+	for _, m := range v.domains[domain] {
+		switch {
+		case m.record.GetStopping() && m.record.GetNode() != v.self.GetNode():
+		case m.failed == 0:
+			return world.NodeID(m.record.GetNode())
+		case fallback == nil || m.failed < fallback.failed:
+			fallback = m
+		}
+	}
+	if fallback == nil {
+		return ""
+	}
+	return world.NodeID(fallback.record.GetNode())
+}
+
+// dueLocked is the first node of a domain before the relay that is to be tried again.
+func (v *View) dueLocked(domain string, relay world.NodeID) world.NodeID {
+	for _, m := range v.domains[domain] {
+		if world.NodeID(m.record.GetNode()) == relay {
+			break
+		}
+		if !m.record.GetStopping() && m.failed > 0 && v.clock.Now()-m.failed >= relayRetry*v.options.Period {
+			return world.NodeID(m.record.GetNode())
+		}
+	}
+	return ""
+}
+
+// Failed notes that a node did not answer an exchange.
+func (v *View) Failed(name world.NodeID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m := v.nodes[name]; m != nil {
+		m.failed = max(v.clock.Now(), 1)
+	}
+}
--- a/core/mesh/flight.go
+++ b/core/mesh/flight.go
@@ -105,6 +105,7 @@
 	n.splitMu.Lock()
 	c.Service = n.splitter.Next(route, n.draw)
 	n.splitMu.Unlock()
+	n.needs.note(now, c.Service)
 	n.mu.Lock()
 	n.flights++
 	n.mu.Unlock()
--- a/core/mesh/levels.go
+++ b/core/mesh/levels.go
@@ -5,63 +5,33 @@
 	"sync"
 
 	"wagtailyoke/core/admit"
+	"wagtailyoke/core/fleet"
 	"wagtailyoke/core/graph"
 	"wagtailyoke/core/table"
 	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
 )
 
-// pressures is what an entry knows about the load below it: the admission levels of all
-// services, and which of them a request on a route reaches.
+// pressures is what an entry knows about the load below it: the sums of all services, and
+// which of them a request on a route reaches.
 //
-// The levels come with the nodes' records, so they are as fresh for a route of which
-// nothing is let in as for any other: if they came with replies, each entry would have to
-// let some requests in to see whether a service still sheds, and those would be shed.
+// The levels come with the exchange, so they are as fresh for a route of which nothing is let
+// in as for any other: if they came with replies, each entry would have to let some requests in
+// to see whether a service still sheds, and those would be shed.
 type pressures struct {
 	mu    sync.Mutex
-	loads map[world.ServiceID]serviceLoad
+	sums  fleet.Sums
 	reach *graph.Reach
 	// table and edges are what reach was made from.
 	table *table.Table
 	edges []graph.Edge
 }
 
-// serviceLoad sums what a service's endpoints tell.
-type serviceLoad struct {
-	slots float64
-	// levels is the sum of their admission levels, each times its slots.
-	levels float64
-	// needs are the slots that the calls need, by grade.
-	needs []float64
-}
-
-func (l *serviceLoad) add(level, slots float64) {
-	l.levels += level * slots
-	l.slots += slots
-}
-
-func (l *serviceLoad) addNeeds(needs []float32) {
-	for g, need := range needs {
-		if g == len(l.needs) {
-			l.needs = append(l.needs, 0)
-		}
-		l.needs[g] += float64(need)
-	}
-}
-
-// level is the mean of the endpoints' levels.
-func (l *serviceLoad) level() float64 {
-	if l.slots == 0 {
-		return 0
-	}
-	return l.levels / l.slots
-}
-
-// setLoads takes in what the endpoints of the other nodes tell, by service.
-func (p *pressures) setLoads(loads map[world.ServiceID]serviceLoad) {
+// setSums takes in what the other nodes tell, by service.
+func (p *pressures) setSums(sums fleet.Sums) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads = loads
+	p.sums = sums
 }
 
 // setGraph takes in the call graph.
@@ -77,10 +47,10 @@
 
 func isSameCall(a, b graph.Edge) bool { return a.Route == b.Route && a.Child == b.Child }
 
-func (p *pressures) of(service world.ServiceID) serviceLoad {
+func (p *pressures) of(service world.ServiceID) fleet.Sum {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.loads[service]
+	return p.sums.Of(service)
 }
 
 func (p *pressures) reached(route world.RouteID) []world.ServiceID {
@@ -96,12 +66,13 @@
 // that calls several of them would else meet the highest level, which is above what the
 // service as a whole needs.
 func (n *Node) serviceLevel(service world.ServiceID) float64 {
-	load := n.pressures.of(service)
+	sum := n.pressures.of(service)
 	if service == n.callerService() {
 		_, _, limit := n.line.Counts()
-		load.add(n.line.Level(), float64(limit))
+		sum.Levels += n.line.Level() * float64(limit)
+		sum.Slots += float64(limit)
 	}
-	return load.level()
+	return sum.Level()
 }
 
 // reachedLevel is the admission level of a service that a request reaches.
@@ -133,7 +104,7 @@
 
 // learnGraph takes in the calls that the runs of all upstreams make. A call counts if most
 // of a service's nodes that know any tell it: a single one may be mistaken.
-func (n *Node) learnGraph(records []*wire.FleetRecord) {
+func (n *Node) learnGraph(others []fleet.Node) {
 	t := n.table.Load()
 	if t == nil {
 		return
@@ -143,7 +114,8 @@
 		edge    graph.Edge
 	}
 	nodes, votes := map[string]int{}, map[told]int{}
-	for _, r := range records {
+	for _, node := range others {
+		r := node.Record
 		if len(r.GetEdges()) > 0 {
 			nodes[r.GetService()]++
 		}
@@ -189,8 +161,8 @@
 
 // useOf is the part of a service's slots that the calls need.
 func (n *Node) useOf(service world.ServiceID) float64 {
-	load := n.pressures.of(service)
-	need, slots := total(load.needs), load.slots
+	sum := n.pressures.of(service)
+	need, slots := total(sum.Needs), sum.Slots
 	if service == n.callerService() {
 		_, _, limit := n.line.Counts()
 		need, slots = need+total(n.line.Needs()), slots+float64(limit)
@@ -209,30 +181,22 @@
 	return sum
 }
 
-func addOffers(sum []admit.Offer, offers []*wire.ServiceOffer, service world.ServiceID) []admit.Offer {
-	for _, o := range offers {
-		if o.GetService() != string(service) || len(o.GetAsked()) != len(o.GetLetIn()) {
-			continue
-		}
-		for g := range o.GetAsked() {
-			sum = addOffer(sum, g, admit.Offer{Asked: float64(o.GetAsked()[g]), LetIn: float64(o.GetLetIn()[g])})
-		}
-	}
-	return sum
-}
-
 // heedOffers takes in what other entries were asked for that reaches the own service, and
 // what this one was.
-func (n *Node) heedOffers(others []admit.Offer) {
+func (n *Node) heedOffers(others fleet.Sum) {
 	service := n.callerService()
 	if n.useOf(service) < heedUse && n.line.Level() == 0 {
 		n.line.SetOffers(nil)
 		return
 	}
+	var offers []admit.Offer
+	for g := range min(len(others.Asked), len(others.LetIn)) {
+		offers = addOffer(offers, g, admit.Offer{Asked: others.Asked[g], LetIn: others.LetIn[g]})
+	}
 	for g, o := range n.offers.Of(service) {
-		others = addOffer(others, g, o)
+		offers = addOffer(offers, g, o)
 	}
-	n.line.SetOffers(others)
+	n.line.SetOffers(offers)
 }
 
 func addOffer(sum []admit.Offer, grade int, o admit.Offer) []admit.Offer {
@@ -253,9 +217,9 @@
 }
 
 func wireEdges(edges []graph.Edge) []*wire.CallEdge {
-	list := make([]*wire.CallEdge, 0, len(edges))
+	var list []*wire.CallEdge
 	for _, e := range edges {
-		list = append(list, &wire.CallEdge{Route: string(e.Route), Child: string(e.Child), PerRun: e.PerRun})
+		list = append(list, &wire.CallEdge{Route: string(e.Route), Child: string(e.Child)})
 	}
 	return list
 }
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -188,10 +188,16 @@
 	quarantine *once.Quarantine
 	keeper     *keeper
 	news       spread
+	needs      needs
 	entry      *announcer
 
 	randomMu sync.Mutex
 
+	// usedVersion and usedTable are what endpoints and call graph were last made from.
+	usedMu      sync.Mutex
+	usedVersion uint64
+	usedTable   *installed
+
 	splitMu  sync.Mutex
 	splitter *table.Splitter
 
--- a/core/mesh/serve.go
+++ b/core/mesh/serve.go
@@ -97,6 +97,9 @@
 	grade, fingerprint := f.call.Grade, f.call.Fingerprint
 	caller := n.returns.Caller(grade, fingerprint, 1-f.call.Draw)
 	levels := n.levelsOf(f.call.Route)
+	for _, l := range levels {
+		n.needs.note(f.begun, l.service)
+	}
 	highest := highestBut(levels, "")
 	share := admit.Passing(grade, highest.level)
 	isLetIn := caller.IsLetIn(share)
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -108,6 +108,7 @@
 	disturbed time.Duration
 	sequence  uint64
 	born      int64
+	control   control
 }
 
 func newSite(c *qt.C, seed int64, domains int, services []service, routes []*table.Route, customers []*table.Customer, jobs map[world.RouteID]job) *site {
@@ -341,6 +342,8 @@
 	sent := proto.Clone(req).(*wire.ExchangeRequest)
 	l.vm.site.carry(l.vm, l.life, target, func(answer func(func())) {
 		reply := proto.Clone(target.node.HandleExchange(sent)).(*wire.ExchangeReply)
+		l.vm.control.count(sent, reply)
+		target.control.count(sent, reply)
 		answer(func() { done(reply, nil) })
 	}, func(err error) { done(nil, err) })
 }
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"wagtailyoke/core/admit"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/fleet"
 	"wagtailyoke/core/invar"
@@ -60,24 +59,26 @@
 	n.Metrics.State(s)
 }
 
-// refresh renews the own record.
+// refresh renews what this node tells of itself.
 func (n *Node) refresh() {
 	info := n.upstream.info()
 	service := n.callerService()
 	running, waiting, limit := n.line.Counts()
 	isStopping, isLeaving := n.isStopping()
-	version := n.tableVersion()
 	n.offers.Turn()
-	offers, arrivals := n.wireOffers(), float32(n.line.Rate())
-	level, needs, edges := n.line.Level(), wireNeeds(n.line.Needs()), wireEdges(n.graph.Edges())
+	pulse := &wire.Pulse{
+		Load: uint32(running + waiting), Level: float32(n.line.Level()), Needs: wireNeeds(n.line.Needs()),
+		Arrivals: float32(n.line.Rate()), Offers: n.wireOffers(),
+	}
+	edges := wireEdges(n.graph.Edges())
 	n.view.SetSelf(func(r *wire.FleetRecord) {
-		r.Upstream = info
-		r.Service = string(service)
-		r.Running, r.Queued, r.Limit = uint32(running), uint32(waiting), uint32(limit)
-		r.Level, r.Needs, r.Edges, r.Offers, r.Arrivals = level, needs, edges, offers, arrivals
+		r.Upstream, r.Service, r.Limit, r.Edges = info, string(service), uint32(limit), edges
 		r.Stopping, r.Leaving = isStopping, isLeaving
-		r.TableVersion = uint64(version)
+		if hasEndpoint(r) {
+			pulse.Slots = r.Limit
+		}
 	})
+	n.view.SetPulse(pulse)
 }
 
 func (n *Node) tableVersion() world.ConfigVersion {
@@ -115,8 +116,8 @@
 	s.asking[name] = true
 	known := s.told[name]
 	s.mu.Unlock()
-	req, index := n.view.Ask(name)
-	req.TableAgeMs = n.tableAge().Milliseconds()
+	req, index := n.view.Ask(name, n.needs.list(n.Clock.Now()))
+	req.TableVersion, req.TableAgeMs = uint64(n.tableVersion()), n.tableAge().Milliseconds()
 	req.QuarantineSince, req.QuarantineIncarnation = known.got, known.incarnation
 	req.Quarantines, known.sent = n.quarantine.Export(known.sent)
 	sent := n.Clock.Now()
@@ -124,11 +125,11 @@
 		if err == nil {
 			n.noteTold(name, known, reply)
 		}
-		n.exchanged(name, address, index, sent, reply, err)
+		n.exchanged(name, address, req, index, sent, reply, err)
 	})
 }
 
-func (n *Node) exchanged(name world.NodeID, address world.Address, index uint64, sent time.Duration, reply *wire.ExchangeReply, err error) {
+func (n *Node) exchanged(name world.NodeID, address world.Address, req *wire.ExchangeRequest, index uint64, sent time.Duration, reply *wire.ExchangeReply, err error) {
 	s := &n.news
 	s.mu.Lock()
 	delete(s.asking, name)
@@ -140,9 +141,8 @@
 		n.Events.Log(event.PeerSilent, event.Field{Name: "peer", Value: name}, event.Field{Name: "error", Value: err.Error()})
 		return
 	}
-	if n.view.Answered(name, reply, index) {
-		n.useRecords()
-	}
+	n.view.Answered(name, req, reply, index)
+	n.useRecords()
 	n.noteVersion(address, world.ConfigVersion(reply.GetTableVersion()))
 	if world.ConfigVersion(reply.GetTableVersion()) <= n.tableVersion() {
 		n.confirmTable(n.Clock.Now() - sent + time.Duration(reply.GetTableAgeMs())*time.Millisecond)
@@ -158,23 +158,16 @@
 // HandleExchange serves an exchange of another node.
 func (n *Node) HandleExchange(req *wire.ExchangeRequest) *wire.ExchangeReply {
 	reply := n.view.Answer(req)
-	reply.TableAgeMs = n.tableAge().Milliseconds()
+	reply.TableVersion, reply.TableAgeMs = uint64(n.tableVersion()), n.tableAge().Milliseconds()
 	reply.IsUnlisted = n.entry.misses(world.NodeID(req.GetNode()))
 	n.answerQuarantines(req, reply)
-	n.noteRecords(req.GetRecords())
-	return reply
-}
-
-// noteRecords fetches the routing table of a node that is ahead.
-func (n *Node) noteRecords(records []*wire.FleetRecord) {
-	for _, r := range records {
-		if world.ConfigVersion(r.GetTableVersion()) > n.tableVersion() {
-			n.noteVersion(world.Address(r.GetPeerAddress()), world.ConfigVersion(r.GetTableVersion()))
-			return
-		}
+	if address, ok := n.view.AddressOf(world.NodeID(req.GetNode())); ok {
+		n.noteVersion(address, world.ConfigVersion(req.GetTableVersion()))
 	}
+	return reply
 }
 
+// noteVersion fetches the routing table of a node that is ahead.
 func (n *Node) noteVersion(address world.Address, version world.ConfigVersion) {
 	if version <= n.tableVersion() {
 		return
@@ -248,87 +241,75 @@
 	n.exchangeSoon()
 }
 
-// digest is what the records of all nodes say, sorted by who needs it.
-type digest struct {
-	self    world.NodeID
-	service world.ServiceID
-
-	records   []*wire.FleetRecord
-	endpoints []place.Endpoint
-	peers     []share.Peer
-	// loads are of the endpoints of the other nodes, offers of the other entries.
-	loads  map[world.ServiceID]serviceLoad
-	offers []admit.Offer
-	// rates are the calls a second that each service gets.
-	rates map[world.ServiceID]float64
-}
-
-func (d *digest) take(node fleet.Node) {
-	r := node.Record
-	d.records = append(d.records, r)
-	if !node.IsSilent {
-		d.rates[world.ServiceID(r.GetService())] += float64(r.GetArrivals())
-	}
-	if r.GetNode() != string(d.self) {
-		d.takeOther(node)
-	}
-	if !hasEndpoint(r) {
-		return
-	}
-	d.endpoints = append(d.endpoints, place.Endpoint{
-		Node:        world.NodeID(r.GetNode()),
-		Domain:      world.DomainID(r.GetDomain()),
-		Service:     world.ServiceID(r.GetService()),
-		Peer:        world.Address(r.GetPeerAddress()),
-		Instance:    world.InstanceID(r.GetUpstream().GetInstance()),
-		Incarnation: r.GetIncarnation(),
-		IsSilent:    node.IsSilent,
-		Load:        int(r.GetRunning() + r.GetQueued()),
-		Limit:       int(r.GetLimit()),
-	})
-}
-
 // hasEndpoint reports whether a node's upstream takes calls.
 func hasEndpoint(r *wire.FleetRecord) bool {
 	return r.GetUpstream().GetState() == wire.NodeState_NODE_STATE_READY && !r.GetLeaving()
 }
 
-func (d *digest) takeOther(node fleet.Node) {
-	r := node.Record
-	d.peers = append(d.peers, share.Peer{
-		Node:      world.NodeID(r.GetNode()),
-		Age:       node.Age,
-		IsLeaving: r.GetStopping(),
-	})
-	if node.IsSilent {
-		return
-	}
-	d.offers = addOffers(d.offers, r.GetOffers(), d.service)
-	if hasEndpoint(r) {
-		load := d.loads[world.ServiceID(r.GetService())]
-		load.add(r.GetLevel(), float64(r.GetLimit()))
-		load.addNeeds(r.GetNeeds())
-		d.loads[world.ServiceID(r.GetService())] = load
+// useRecords takes in what is known of the other nodes. What follows from their records alone
+// is made anew only when one has changed.
+func (n *Node) useRecords() {
+	nodes := n.view.Nodes()
+	n.gate.SetPeers(n.peersOf(nodes))
+	version, t := n.view.Version(), n.table.Load()
+	n.usedMu.Lock()
+	isNew := n.usedVersion != version || n.usedTable != t
+	n.usedVersion, n.usedTable = version, t
+	n.usedMu.Unlock()
+	if isNew {
+		n.learnGraph(nodes)
+		n.picker.Update(endpointsOf(nodes))
+		n.budgets.SetNodes(len(nodes))
 	}
+	n.useSums()
 }
 
-// useRecords takes in what the records of other nodes say.
-func (n *Node) useRecords() {
-	d := digest{
-		self: n.Info.Name, service: n.callerService(),
-		loads: map[world.ServiceID]serviceLoad{}, rates: map[world.ServiceID]float64{},
+func (n *Node) peersOf(nodes []fleet.Node) []share.Peer {
+	peers := make([]share.Peer, 0, len(nodes))
+	for _, node := range nodes {
+		if name := world.NodeID(node.Record.GetNode()); name != n.Info.Name {
+			peers = append(peers, share.Peer{Node: name, Age: node.Age, IsLeaving: node.Record.GetStopping()})
+		}
 	}
-	nodes := n.view.Nodes()
+	return peers
+}
+
+func endpointsOf(nodes []fleet.Node) []place.Endpoint {
+	var endpoints []place.Endpoint
 	for _, node := range nodes {
-		d.take(node)
+		r := node.Record
+		if !hasEndpoint(r) {
+			continue
+		}
+		endpoints = append(endpoints, place.Endpoint{
+			Node:        world.NodeID(r.GetNode()),
+			Domain:      world.DomainID(r.GetDomain()),
+			Service:     world.ServiceID(r.GetService()),
+			Peer:        world.Address(r.GetPeerAddress()),
+			Instance:    world.InstanceID(r.GetUpstream().GetInstance()),
+			Incarnation: r.GetIncarnation(),
+			IsSilent:    node.IsSilent,
+			Limit:       int(r.GetLimit()),
+		})
+	}
+	return endpoints
+}
+
+// useSums takes in what the other nodes tell of loads.
+func (n *Node) useSums() {
+	sums, service := n.view.Sums(), n.callerService()
+	n.pressures.setSums(sums)
+	own := sums.Of(service)
+	n.line.SetOthers(own.Needs, own.Slots)
+	n.heedOffers(own)
+	rates := make(map[world.ServiceID]float64, len(sums)+1)
+	for s, sum := range sums {
+		rates[s] = sum.Arrivals
 	}
-	n.pressures.setLoads(d.loads)
-	own := d.loads[d.service]
-	n.line.SetOthers(own.needs, own.slots)
-	n.heedOffers(d.offers)
-	n.learnGraph(d.records)
-	n.picker.Update(d.endpoints)
-	n.gate.SetPeers(d.peers)
-	n.budgets.SetNodes(len(nodes))
-	n.budgets.SetRates(d.rates)
+	rates[service] += n.line.Rate()
+	n.budgets.SetRates(rates)
+	loads := n.view.Loads()
+	running, waiting, _ := n.line.Counts()
+	loads[n.Info.Name] = running + waiting
+	n.picker.SetLoads(loads, n.view.Uses())
 }
--- a/core/mesh/upstream.go
+++ b/core/mesh/upstream.go
@@ -202,7 +202,6 @@
 		BornUnixMs: u.now.Born,
 		State:      state,
 		Slots:      uint32(u.now.Slots),
-		ColdMs:     uint32(u.now.Cold.Milliseconds()),
 	}
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -35,8 +35,7 @@
 	Incarnation uint64
 	// IsSilent means that the node was not heard of for a while.
 	IsSilent bool
-	// Load and Limit are what the node last said of its upstream.
-	Load  int
+	// Limit is how many calls the upstream runs at once.
 	Limit int
 }
 
@@ -100,6 +99,9 @@
 	// forgetSlow is the time constant at which an unused endpoint's slowness and
 	// failures are forgiven, so that it is tried again.
 	forgetSlow = 4 * time.Second
+	// loadTime is how long what an endpoint told of its load counts: calls last some tenths
+	// of a second.
+	loadTime = time.Second
 	// defaultLimit is the concurrency limit of an endpoint that has not told one.
 	defaultLimit = 16
 )
@@ -110,8 +112,9 @@
 	slowness float64
 	failing  float64
 	touched  time.Duration
-	// load and limit were told at an instant; since counts calls sent after it.
+	// load was told at an instant, by the endpoint's node or its failure domain's relay.
 	load, limit int
+	told        time.Duration
 	failures    int
 	excluded    time.Duration
 	leaving     time.Duration
@@ -129,6 +132,8 @@
 	services map[world.ServiceID][]*state
 	// usual is the usual time of each route, over all endpoints.
 	usual map[world.RouteID]float64
+	// uses are the parts of the slots of services in use, by failure domain.
+	uses map[world.DomainID]map[world.ServiceID]float64
 }
 
 // New returns a picker without endpoints for a node in a failure domain.
@@ -153,10 +158,9 @@
 	for _, e := range endpoints {
 		s := p.nodes[e.Node]
 		if s == nil || s.Incarnation != e.Incarnation || s.Instance != e.Instance {
-			s = &state{slowness: 1, touched: p.clock.Now()}
+			s = &state{slowness: 1, touched: p.clock.Now(), told: -loadTime}
 		}
-		s.Endpoint = e
-		s.load, s.limit = e.Load, e.Limit
+		s.Endpoint, s.limit = e, e.Limit
 		nodes[e.Node] = s
 		services[e.Service] = append(services[e.Service], s)
 	}
@@ -166,6 +170,29 @@
 	p.nodes, p.services = nodes, services
 }
 
+// SetLoads takes in the calls at endpoints, by node, and the parts of the slots of services that
+// are in use, by failure domain.
+func (p *Picker) SetLoads(loads map[world.NodeID]int, uses map[world.DomainID]map[world.ServiceID]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for node, load := range loads {
+		if s := p.nodes[node]; s != nil {
+			s.load, s.told = load, now
+		}
+	}
+	p.uses = uses
+}
+
+// loadLocked is the number of calls at an endpoint. One that has told nothing lately is taken to
+// be as busy as others of its service in its failure domain.
+func (p *Picker) loadLocked(s *state) int {
+	if p.clock.Now()-s.told < loadTime {
+		return s.load
+	}
+	return int(p.uses[s.Domain][s.Service] * float64(s.limit))
+}
+
 // Pick chooses an endpoint that is not among the tried ones and counts a call in
 // flight to it. It returns false if no endpoint is left.
 func (p *Picker) Pick(want Want) (Endpoint, bool) {
@@ -236,7 +263,7 @@
 		}
 	}
 	score *= 1 + failPenalty*s.failing*fresh
-	score *= crowding(max(s.load, s.inFlight)+1, s.limit)
+	score *= crowding(max(p.loadLocked(s), s.inFlight)+1, s.limit)
 	switch {
 	case s.Node == p.node:
 		score *= ownBonus
@@ -272,7 +299,7 @@
 	now := p.clock.Now()
 	s.inFlight = max(0, s.inFlight-1)
 	if o.Limit > 0 {
-		s.load, s.limit = o.Load, o.Limit
+		s.load, s.limit, s.told = o.Load, o.Limit, now
 	}
 	if o.IsLeaving {
 		s.leaving = now + leavingTime
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -22,6 +22,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -214,8 +215,17 @@
 func (g *Gate) SetPeers(peers []Peer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	isSame := g.hasPeers && slices.EqualFunc(g.peers, peers, isSamePeer)
 	g.peers, g.hasPeers = peers, true
-	g.divideLocked(g.clock.Now())
+	if !isSame {
+		g.divideLocked(g.clock.Now())
+	}
+}
+
+// isSamePeer reports whether two states of a node lead to the same parts and homes.
+func isSamePeer(a, b Peer) bool {
+	return a.Node == b.Node && a.IsLeaving == b.IsLeaving &&
+		(a.Age >= liveTime) == (b.Age >= liveTime) && (a.Age >= homeTime) == (b.Age >= homeTime)
 }
 
 // Measure updates the demands.
