Do not call a table new whose age is not known

Cause: a node that has never read the store told others, with each exchange, that its routing table was as old as its process. A node that restarts while the store is away gets a table from another one that may be cut off, and would confirm it as the newest to all: a permission that had run out.

Change: until a table was known to be the newest once, its age is unknown (an hour).

--- a/core/mesh/follow.go
+++ b/core/mesh/follow.go
@@ -193,7 +193,9 @@
 func (n *Node) confirmTable(age time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.tableSeen = max(n.tableSeen, n.Clock.Now()-age)
+	if seen := n.Clock.Now() - age; !n.hasSeenTable || seen > n.tableSeen {
+		n.hasSeenTable, n.tableSeen = true, seen
+	}
 }
 
 // followNodes keeps up with the entries of the nodes.
@@ -220,3 +222,9 @@
 	defer n.mu.Unlock()
 	return n.isEnded
 }
+	if !n.hasSeenTable {
+		return unknownAge
+	}
+// unknownAge stands for the age of a routing table that was never known to be the newest.
+const unknownAge = time.Hour
+
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -211,9 +211,12 @@
 	isClosed bool
 	stopped  func()
 	isEnded  bool
-	// tableSeen is when the routing table was last known to be the newest.
-	tableSeen time.Duration
-	stops     []timer.Stop
+	// tableSeen is when the routing table was last known to be the newest, if it ever was.
+	hasSeenTable bool
+	tableSeen    time.Duration
+	stops        []timer.Stop
+	// levelLogDue is when the admission level is logged again. Only ticks use it.
+	levelLogDue time.Duration
 }
 
 // installed is a routing table with the document that it was read from, for other nodes.
