Log why requests are refused at the entries

The logs told the level, not what it was taken from.

Change: event 506, once a second at an endpoint's node while the level is above 0: slots, and by grade what calls need, what entries were asked and let in, and what all of it would need.

Test: TestCataloguesMatchCode holds the catalogue.

--- a/core/admit/line.go
+++ b/core/admit/line.go
@@ -112,6 +112,9 @@
 	return l.level.Value(slots, backlog)
 }
 
+// Balance returns what the level was taken from last.
+func (l *Line) Balance() Balance { return l.level.Balance() }
+
 // Needs returns the slots that the calls that come need, by grade.
 func (l *Line) Needs() []float64 { return l.level.Needs() }
 
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -243,6 +243,29 @@
 	return d.asked * cost
 }
 
+// Balance is what a level was taken from.
+type Balance struct {
+	// Usable is the part of the slots that the upstream really has.
+	Usable float64
+	// Need, Asked, LetIn and Offered are by grade: the slots that the calls need at all endpoints,
+	// the requests a second at all entries, and the slots that all that is asked would need.
+	Need, Asked, LetIn, Offered []float64
+}
+
+// Balance returns what the level was taken from last.
+func (t *Throttle) Balance() Balance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := Balance{Usable: t.usable}
+	for g, d := range t.grades {
+		b.Need = append(b.Need, d.need+d.others)
+		b.Asked = append(b.Asked, d.asked)
+		b.LetIn = append(b.LetIn, d.letIn)
+		b.Offered = append(b.Offered, t.offeredLocked(g))
+	}
+	return b
+}
+
 // Passing is the share of the requests of a grade that a level lets in.
 func Passing(grade world.Grade, level float64) float64 {
 	return min(max(float64(grade)+1-level, 0), 1)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -43,6 +43,7 @@
 	Cancelled         Number = 503
 	PressureShed      Number = 504
 	AnswerCut         Number = 505
+	LevelRaised       Number = 506
 	LineDropped       Number = 510
 	LinesOmitted      Number = 800
 	LinesLost         Number = 801
@@ -83,6 +84,7 @@
 	Cancelled:         "a request was given up, since its caller has gone",
 	PressureShed:      "a request is refused at the entry, since it would be shed deeper",
 	AnswerCut:         "an answer that had begun did not end before its caller left",
+	LevelRaised:       "requests that reach the upstream's service are refused at the entries",
 	LineDropped:       "a call was not let into the upstream",
 	LinesOmitted:      "lines of an event were left out to keep its budget",
 	LinesLost:         "lines were lost, since the log's reader was too slow",
--- a/core/mesh/levels.go
+++ b/core/mesh/levels.go
@@ -1,10 +1,13 @@
 package mesh
 
 import (
+	"math"
 	"slices"
 	"sync"
+	"time"
 
 	"wagtailyoke/core/admit"
+	"wagtailyoke/core/event"
 	"wagtailyoke/core/fleet"
 	"wagtailyoke/core/graph"
 	"wagtailyoke/core/table"
@@ -81,6 +84,33 @@
 	level   float64
 }
 
+// levelLogged is the time between two log lines that explain the own service's admission level.
+const levelLogged = time.Second
+
+// showLevel logs why requests that reach the own service are refused at the entries.
+func (n *Node) showLevel() {
+	level, now := n.line.Level(), n.Clock.Now()
+	if level == 0 || now < n.levelLogDue {
+		return
+	}
+	n.levelLogDue = now + levelLogged
+	_, _, limit := n.line.Counts()
+	b := n.line.Balance()
+	n.Events.Log(event.LevelRaised, event.Field{Name: "admissionLevel", Value: level},
+		event.Field{Name: "slots", Value: n.pressures.of(n.callerService()).Slots + float64(limit)}, event.Field{Name: "usable", Value: b.Usable},
+		event.Field{Name: "need", Value: tenths(b.Need)}, event.Field{Name: "asked", Value: tenths(b.Asked)},
+		event.Field{Name: "letIn", Value: tenths(b.LetIn)}, event.Field{Name: "offered", Value: tenths(b.Offered)})
+}
+
+// tenths rounds a list for a log line.
+func tenths(list []float64) []float64 {
+	short := make([]float64, 0, len(list))
+	for _, x := range list {
+		short = append(short, math.Round(10*x)/10)
+	}
+	return short
+}
+
 // levelsOf returns the levels of the services that a request on a route reaches.
 func (n *Node) levelsOf(route world.RouteID) []reachedLevel {
 	services := n.pressures.reached(route)
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -43,6 +43,7 @@
 	n.sweep()
 	n.useRecords()
 	n.keeper.keep()
+	n.showLevel()
 	n.showState()
 }
 
