Let two relays follow the store, and starts write nothing

In an outage each node tried both kinds of objects every 0.5 s.

Ruled out: a slower watch of the table (tables must be in force in 2 s); no list of the table at a start (a node that waits for its relay refuses callers meanwhile, which costs them more than the call).

An entry is written only if it does not lead to the node. The first list of entries is a cheap one (allowStale). Two relays watch, not all; changes of entries wait a second for each other; the other relays read a cheap list every 8 s to find nodes that are not listed. A node that hears a relay tries every 3 s in an outage. The first watch is short, so that the table is confirmed in time.

The simulated store serves cheap lists that are up to 2 s old. TestNodeThatStopsLosesNothing expected the entry to be gone after the stop; it expects now that it is still there then, and gone with the node 10 s later, the bound of TestEntryOfADeadNodeIsDropped.

--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -38,6 +38,34 @@
 	return v.isRelayLocked()
 }
 
+// leads is the number of relays that follow the platform's store for all: a second one, so that
+// the loss of the first costs no time.
+const leads = 2
+
+// IsLead reports whether this node follows the platform's store for all: it is the relay of one of
+// the first failure domains that are heard.
+func (v *View) IsLead() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.isRelayLocked() {
+		return false
+	}
+	before, now := 0, v.clock.Now()
+	for domain := range v.domains {
+		if relay := v.nodes[v.relayLocked(domain)]; domain < v.self.GetDomain() && relay != nil && !v.isSilentLocked(relay, now) {
+			before++
+		}
+	}
+	return before < leads
+}
+
+// HearsRelay reports whether another node of the failure domain is the relay and has answered lately.
+func (v *View) HearsRelay() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.isRelayLocked() && v.areSumsFreshLocked()
+}
+
 func (v *View) isRelayLocked() bool {
 	return v.relayLocked(v.self.GetDomain()) == world.NodeID(v.self.GetNode())
 }
--- a/core/mesh/announce.go
+++ b/core/mesh/announce.go
@@ -33,6 +33,13 @@
 	}
 }
 
+// leadsTo reports whether the entry says where to find a node. Which process of it is the newest is
+// not asked: the others hear that from itself.
+func (e Entry) leadsTo(want Entry) bool {
+	e.Incarnation = want.Incarnation
+	return e == want
+}
+
 func (e Entry) record() *wire.FleetRecord {
 	return &wire.FleetRecord{
 		Node:        e.Node,
@@ -71,21 +78,32 @@
 	// revision is of the own entry as the store was last seen to hold it, 0 if it holds none.
 	revision uint64
 	held     Entry
-	// revisions are of the entries of all nodes.
-	revisions map[world.NodeID]uint64
-	writing   bool
-	// hasListed means that revisions holds all entries.
-	hasListed bool
+	// revisions are of the entries of all nodes, earlier those of the list before a cheap one.
+	revisions, earlier map[world.NodeID]uint64
+	writing            bool
+	// lists counts the lists that were read. isSure means that what they lack is missing, knowsOthers
+	// that one named others, or that there are none.
+	lists               int
+	isSure, knowsOthers bool
 }
 
+// aloneTime is how long the first node of a deployment waits for others to announce themselves.
+const aloneTime = 400 * time.Millisecond
+
 // announceRetry is the time between tries to write the entry.
 const announceRetry = 300 * time.Millisecond
 
-func (a *announcer) listed(objects []Object) {
+// listed takes in all entries. A cheap list may lack what is new, so that an entry is missing only if
+// the list before did not hold it either.
+func (a *announcer) listed(objects []Object, reading Reading) {
 	a.mu.Lock()
-	a.revision, a.held = 0, Entry{}
-	a.revisions = map[world.NodeID]uint64{}
-	a.hasListed = true
+	a.isSure = reading == ReadNewest || a.lists > 0
+	a.earlier, a.revisions = a.revisions, map[world.NodeID]uint64{}
+	if reading == ReadNewest {
+		a.earlier = nil
+	}
+	a.lists++
+	isAlone := a.lists == 1
 	a.mu.Unlock()
 	var records []*wire.FleetRecord
 	for _, o := range objects {
@@ -95,11 +113,24 @@
 		}
 		if e, ok := a.read(o); ok {
 			records = append(records, e.record())
+			isAlone = isAlone && e.Node == string(a.n.Info.Name)
 		}
 	}
 	a.n.view.List(records)
 	a.n.useRecords()
+	a.mu.Lock()
+	if a.missesLocked(a.n.Info.Name) {
+		a.revision, a.held = 0, Entry{}
+	}
+	a.mu.Unlock()
 	a.write()
+	if isAlone {
+		a.n.Clock.After(aloneTime, a.n.relistNodes)
+		return
+	}
+	a.mu.Lock()
+	a.knowsOthers = true
+	a.mu.Unlock()
 }
 
 func (a *announcer) changed(o Object) {
@@ -111,6 +142,7 @@
 	if o.IsDeleted {
 		a.mu.Lock()
 		delete(a.revisions, name)
+		delete(a.earlier, name)
 		if name == a.n.Info.Name && o.Revision >= a.revision {
 			a.revision, a.held = 0, Entry{}
 		}
@@ -149,7 +181,7 @@
 func (a *announcer) write() {
 	want := entryOf(a.n.view.Self())
 	a.mu.Lock()
-	if a.writing || a.held == want || a.n.IsStopping() {
+	if a.writing || a.held.leadsTo(want) || a.n.IsStopping() {
 		a.mu.Unlock()
 		return
 	}
@@ -186,16 +218,28 @@
 	a.n.Clock.After(announceRetry, a.write)
 }
 
-// misses reports whether the platform lists other nodes but not this one. Only a relay
-// keeps up with the entries.
+// hasRead reports whether the entries of the other nodes were read.
+func (a *announcer) hasRead() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.knowsOthers
+}
+
+// misses reports whether the platform lists other nodes but not this one. Only a relay keeps up
+// with the entries.
 func (a *announcer) misses(node world.NodeID) bool {
 	if !a.n.view.IsRelay() {
 		return false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	_, ok := a.revisions[node]
-	return a.hasListed && !ok
+	return a.missesLocked(node)
+}
+
+func (a *announcer) missesLocked(node world.NodeID) bool {
+	_, isListed := a.revisions[node]
+	_, wasListed := a.earlier[node]
+	return a.isSure && !isListed && !wasListed
 }
 
 // rewrite writes the own entry again, since another node does not find it.
@@ -206,21 +250,12 @@
 	a.write()
 }
 
-// remove deletes the own entry when the node stops.
-func (a *announcer) remove() {
-	a.mu.Lock()
-	revision := a.revision
-	a.mu.Unlock()
-	if revision > 0 {
-		a.n.Objects.Delete(KindNode, string(a.n.Info.Name), revision, func(error) {})
-	}
-}
-
-// sweep deletes the entries of nodes that are gone. One relay does it, and only while it
-// hears of others: a node that is cut off must not take the rest for gone.
+// sweep deletes the entries of nodes that are gone, those that have stopped too: most of them come
+// back and find their entry as it was. Relays that follow the store do it, and only while they
+// hear of others: a node that is cut off must not take the rest for gone.
 func (n *Node) sweep() {
 	abandoned := n.view.Sweep()
-	if len(abandoned) == 0 || !n.view.IsRelay() || n.entry == nil {
+	if len(abandoned) == 0 || !n.view.IsLead() || n.entry == nil {
 		return
 	}
 	heard := 0
--- a/core/mesh/fleet_test.go
+++ b/core/mesh/fleet_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"wagtailyoke/core/mesh"
 	"wagtailyoke/core/table"
 	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
@@ -99,3 +100,88 @@
 		c.Assert(float64(ordinary.bytes) <= mostControlBytes, qt.IsTrue, qt.Commentf("%d nodes: %+v", len(s.nodes), ordinary))
 	}
 }
+
+// mostCallsAStart is what a start may cost at the store: the table, the other nodes at a cheap
+// price, and the own entry if it is not there.
+const mostCallsAStart = 2.2
+
+// mostCallsAFirstStart is the same where no other node is listed yet, so that they are read again.
+const mostCallsAFirstStart = 3.2
+
+// TestStoreCallsGrowWithStartsNotWithNodes restarts nodes of a fleet of 100 one after the other,
+// by a kill or by a stop, then all at once. Two relays follow the store, whatever the fleet's size.
+func TestStoreCallsGrowWithStartsNotWithNodes(t *testing.T) {
+	c := qt.New(t)
+	s := newFleet(c, 33, 5, 20)
+	s.run(4 * time.Second)
+	first := s.store.price
+	c.Assert(first <= mostCallsAFirstStart*float64(len(s.nodes))+4*mostFollowing, qt.IsTrue, qt.Commentf("%v for the first starts", first))
+	follow := s.priceOf(func() { s.run(20 * time.Second) })
+	c.Assert(follow <= 20*mostFollowing+1, qt.IsTrue, qt.Commentf("%v in 20 calm seconds", follow))
+	const starts = 20
+	restarts := s.priceOf(func() {
+		for i, v := range s.nodes[:starts] {
+			if i%2 == 0 {
+				v.node.Stop(func() {})
+				s.run(400 * time.Millisecond)
+			}
+			v.kill()
+			s.run(200 * time.Millisecond)
+			v.start()
+			s.run(time.Second - s.clock.Now()%time.Second)
+		}
+	})
+	c.Assert(restarts <= follow+mostCallsAStart*starts, qt.IsTrue, qt.Commentf("%v for %d restarts, %v without", restarts, starts, follow))
+	all := s.priceOf(func() {
+		for _, v := range s.nodes {
+			v.kill()
+		}
+		s.run(500 * time.Millisecond)
+		for _, v := range s.nodes {
+			v.start()
+		}
+		s.run(4 * time.Second)
+	})
+	c.Assert(all <= follow+mostCallsAStart*float64(len(s.nodes)), qt.IsTrue, qt.Commentf("%v for a restart of all", all))
+	s.expectAllKnown()
+}
+
+// TestOutageCostsFewCalls takes the store away for 20 s. All nodes have their tables from before, and
+// learn from their relays when it is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	c := qt.New(t)
+	s := newFleet(c, 34, 5, 20)
+	s.run(4 * time.Second)
+	s.store.setDown(true)
+	const outage = 20
+	price := s.priceOf(func() { s.run(outage * time.Second) })
+	// A try in three seconds at each node in the mean, a few before it is as patient, and the relays'.
+	c.Assert(price <= float64(len(s.nodes))*(outage/3.0+4)+5*outage*4, qt.IsTrue, qt.Commentf("%v in an outage of %d s", price, outage))
+	s.store.setDown(false)
+	s.store.writeTable(2)
+	s.run(2 * time.Second)
+	for _, v := range s.nodes {
+		c.Assert(v.node.HandleTable().GetVersion(), qt.Equals, uint64(2), qt.Commentf("%s", v.name))
+	}
+}
+
+// mostFollowing is what it costs a second to follow the store: two relays with a watch of the
+// table each 0.8 s and one of the entries each 8 s, and the other relays with a cheap list.
+const mostFollowing = 2*(1/0.8+1/8.0) + 3*0.1/8
+
+func (s *site) priceOf(f func()) float64 {
+	before := s.store.price
+	f()
+	return s.store.price - before
+}
+
+// expectAllKnown expects that the store leads to all nodes.
+func (s *site) expectAllKnown() {
+	for _, v := range s.nodes {
+		o, ok := s.store.kinds[mesh.KindNode][string(v.name)]
+		s.c.Assert(ok, qt.IsTrue, qt.Commentf("the store does not list %s", v.name))
+		e, err := mesh.DecodeEntry(o.Name, o.Value)
+		s.c.Assert(err, qt.IsNil)
+		s.c.Assert(e.Peer, qt.Equals, string(v.address()))
+	}
+}
--- a/core/mesh/follow.go
+++ b/core/mesh/follow.go
@@ -7,6 +7,7 @@
 
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/store"
+	"wagtailyoke/core/timer"
 )
 
 // Kind is a kind of objects in the platform's store.
@@ -28,6 +29,17 @@
 	return "nodes"
 }
 
+// Reading says how new a list must be.
+type Reading uint8
+
+// Readings.
+const (
+	// ReadNewest reads the objects as they are.
+	ReadNewest Reading = iota
+	// ReadCheap reads objects as they were up to some seconds ago, for a tenth of the price.
+	ReadCheap
+)
+
 // Object is an object of the platform's store.
 type Object struct {
 	Name     string
@@ -41,7 +53,7 @@
 // core/store.
 type Objects interface {
 	// List returns all objects of a kind, with the store's revision.
-	List(kind Kind, done func(objects []Object, revision uint64, err error))
+	List(kind Kind, reading Reading, done func(objects []Object, revision uint64, err error))
 	// Watch returns the changes after a revision, or none when the wait ends.
 	Watch(kind Kind, after uint64, wait time.Duration, done func(changes []Object, revision uint64, err error))
 	// Put creates an object (revision 0) or replaces the one of a revision.
@@ -55,9 +67,14 @@
 	// watchWait is how long the store holds a watch without a change. The store can
 	// lose a watch without a sign, which shows only when the wait is over.
 	watchWait = 800 * time.Millisecond
+	// leastWatchWait is the shortest wait.
+	leastWatchWait = 200 * time.Millisecond
 	// entryWait is the same for the entries of nodes: a node that is not yet listed
 	// tells the relays itself.
 	entryWait = 8 * time.Second
+	// entryPause is the time between a change of an entry and the next watch: when many nodes
+	// start, their entries come with one answer.
+	entryPause = time.Second
 	// idleCheck is how often a follower that is not needed looks whether it is.
 	idleCheck = 100 * time.Millisecond
 	// staleAfter is the age from which a node no longer relies on others for its
@@ -67,21 +84,28 @@
 	// nodes start again together after an outage, so the wait is spread.
 	leastFollowRetry = 100 * time.Millisecond
 	mostFollowRetry  = 700 * time.Millisecond
+	// mostPatientRetry is the same for a node that hears a relay, which tells when the store
+	// is back: an outage must not cost the calls of all nodes.
+	mostPatientRetry = 4 * time.Second
 )
 
-// follower keeps up with the objects of a kind. Only a relay follows all the time: it
-// tells the others. Any other node does so when it does not hear of a relay that does.
+// follower keeps up with the objects of a kind. Only two relays follow all the time: they
+// tell the others. Any other node does so when it does not hear of one that does.
 type follower struct {
 	n    *Node
 	kind Kind
 	// listed takes in all objects, changed one change, confirmed that there are no others.
-	listed    func([]Object)
+	listed    func([]Object, Reading)
 	changed   func(Object)
 	confirmed func()
 	// isBack is called when the store answers again, if set.
 	isBack   func()
 	isNeeded func() bool
-	wait     time.Duration
+	// wait is how long the store holds a watch, pause the time after one that told changes.
+	wait  func() time.Duration
+	pause time.Duration
+	// reading is for the first list.
+	reading Reading
 
 	hasListed bool
 	revision  uint64
@@ -105,7 +129,7 @@
 }
 
 func (f *follower) list() {
-	f.n.Objects.List(f.kind, func(objects []Object, revision uint64, err error) {
+	f.n.Objects.List(f.kind, f.reading, func(objects []Object, revision uint64, err error) {
 		if err != nil {
 			f.retry(err)
 			return
@@ -113,16 +137,18 @@
 		f.succeeded()
 		f.hasListed = true
 		f.revision = revision
-		f.listed(objects)
+		f.listed(objects, f.reading)
 		f.confirmed()
-		f.step()
+		// Whether this node follows the store depends on what other kinds of objects tell.
+		f.n.Clock.After(idleCheck, f.step)
 	})
 }
 
 func (f *follower) watch() {
-	f.n.Objects.Watch(f.kind, f.revision, f.wait, func(changes []Object, revision uint64, err error) {
+	f.n.Objects.Watch(f.kind, f.revision, f.wait(), func(changes []Object, revision uint64, err error) {
 		if errors.Is(err, store.ErrCompacted) {
-			f.hasListed = false
+			// A cheap list could be older than the history.
+			f.hasListed, f.reading = false, ReadNewest
 			f.step()
 			return
 		}
@@ -136,6 +162,10 @@
 			f.changed(o)
 		}
 		f.confirmed()
+		if len(changes) > 0 && f.pause > 0 {
+			f.n.Clock.After(f.pause, f.step)
+			return
+		}
 		f.step()
 	})
 }
@@ -155,7 +185,11 @@
 		f.n.Events.Log(event.PlatformLost, event.Field{Name: "kind", Value: f.kind.String()}, event.Field{Name: "error", Value: err.Error()})
 	}
 	f.failures++
-	wait := min(leastFollowRetry<<min(f.failures-1, 3), mostFollowRetry)
+	most := mostFollowRetry
+	if !f.n.view.IsLead() && f.n.view.HearsRelay() {
+		most = mostPatientRetry
+	}
+	wait := min(leastFollowRetry<<min(f.failures-1, 6), most)
 	f.n.Clock.After(wait/2+time.Duration(f.n.draw()*float64(wait)/2), f.step)
 }
 
@@ -166,10 +200,8 @@
 			n.install(o.Value, "platform")
 		}
 	}
-	f := &follower{n: n, kind: KindTable, wait: watchWait, changed: take, isNeeded: func() bool {
-		return n.view.IsRelay() || n.tableAge() > staleAfter
-	}}
-	f.listed = func(objects []Object) {
+	f := &follower{n: n, kind: KindTable, wait: n.tableWait, changed: take, isNeeded: n.followsStore}
+	f.listed = func(objects []Object, _ Reading) {
 		for _, o := range objects {
 			take(o)
 		}
@@ -179,6 +211,12 @@
 	f.step()
 }
 
+// tableWait is how long a watch waits so that the table is known to be the newest again by the time
+// that others have learned to expect.
+func (n *Node) tableWait() time.Duration {
+	return min(max(watchWait-n.tableAge(), leastWatchWait), watchWait)
+}
+
 // tableName is the name of the object that holds the routing table.
 const tableName = "main"
 
@@ -186,9 +224,15 @@
 func (n *Node) tableAge() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if !n.hasSeenTable {
+		return unknownAge
+	}
 	return n.Clock.Now() - n.tableSeen
 }
 
+// unknownAge stands for the age of a routing table that was never known to be the newest.
+const unknownAge = time.Hour
+
 // confirmTable notes that the routing table was known to be the newest some time ago.
 func (n *Node) confirmTable(age time.Duration) {
 	n.mu.Lock()
@@ -202,17 +246,45 @@
 func (n *Node) followNodes() {
 	a := &announcer{n: n}
 	n.entry = a
-	f := &follower{n: n, kind: KindNode, wait: entryWait, listed: a.listed, changed: a.changed, confirmed: func() {}}
-	f.isNeeded = func() bool { return n.view.IsRelay() || n.tableAge() > staleAfter }
+	f := &follower{
+		n: n, kind: KindNode, wait: func() time.Duration { return entryWait }, pause: entryPause, reading: ReadCheap,
+		listed: a.listed, changed: a.changed, confirmed: func() {}, isNeeded: n.followsEntries,
+	}
 	f.step()
+	n.stops = append(n.stops, timer.Every(n.Clock, entryWait, n.checkEntries))
+}
+
+// followsStore reports whether this node keeps up with the store itself. One that has not read yet
+// who else there is would take itself for a relay.
+func (n *Node) followsStore() bool {
+	return n.entry.hasRead() && n.view.IsLead() || n.tableAge() > staleAfter
+}
+
+// followsEntries is the same for the entries, which nothing depends on as soon as on the table: a node
+// that hears a relay leaves them to it.
+func (n *Node) followsEntries() bool {
+	return n.followsStore() && (n.view.IsLead() || !n.view.HearsRelay())
+}
+
+// checkEntries reads the entries at a relay that does not follow them, to find nodes of its failure
+// domain that are not listed.
+func (n *Node) checkEntries() {
+	if !n.view.IsRelay() || n.followsEntries() {
+		return
+	}
+	n.Objects.List(KindNode, ReadCheap, func(objects []Object, _ uint64, err error) {
+		if err == nil {
+			n.entry.listed(objects, ReadCheap)
+		}
+	})
 }
 
 // relistNodes reads the entries anew after an outage: a watch from before it may tell
 // nothing for a while yet, and entries may be gone.
 func (n *Node) relistNodes() {
-	n.Objects.List(KindNode, func(objects []Object, _ uint64, err error) {
+	n.Objects.List(KindNode, ReadNewest, func(objects []Object, _ uint64, err error) {
 		if err == nil {
-			n.entry.listed(objects)
+			n.entry.listed(objects, ReadNewest)
 		}
 	})
 }
@@ -222,9 +294,3 @@
 	defer n.mu.Unlock()
 	return n.isEnded
 }
-	if !n.hasSeenTable {
-		return unknownAge
-	}
-// unknownAge stands for the age of a routing table that was never known to be the newest.
-const unknownAge = time.Hour
-
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -261,8 +261,8 @@
 func (n *Node) Start() {
 	n.Events.Log(event.NodeStarted,
 		event.Field{Name: "domain", Value: n.Info.Domain}, event.Field{Name: "service", Value: n.Info.Service})
-	n.followTables()
 	n.followNodes()
+	n.followTables()
 	n.stops = append(n.stops, timer.Every(n.Clock, n.Options.Exchange, n.tick))
 }
 
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -54,8 +54,11 @@
 		{"desk", 68, []float64{0.7, 1, 1.3}}, {"book", 68, []float64{0.7, 1, 1.3}},
 		{"price", 68, []float64{0.7, 1, 1.3}}, {"gate", 17, []float64{0.7, 1, 1.3}},
 	}
-	customers := []*table.Customer{{ID: "mill-7", Digests: [][sha256.Size]byte{sha256.Sum256([]byte(key))}}}
-	return newSite(c, seed, 3, services, routes, customers, jobs)
+	return newSite(c, seed, 3, services, routes, yardCustomers(), jobs)
+}
+
+func yardCustomers() []*table.Customer {
+	return []*table.Customer{{ID: "mill-7", Digests: [][sha256.Size]byte{sha256.Sum256([]byte(key))}}}
 }
 
 func (s *site) route(id string) *table.Route {
@@ -346,6 +349,11 @@
 	for id, o := range got {
 		c.Assert(o.failed, qt.Equals, 0, qt.Commentf("%s: %+v", id, *o))
 	}
+	// Most nodes that stop come back, and find their entry as it was. Else it goes as that of a
+	// dead node does.
+	c.Assert(s.entries(), qt.Contains, "book-1")
+	s.named("book-1").kill()
+	s.run(10 * time.Second)
 	c.Assert(s.entries(), qt.Not(qt.Contains), "book-1")
 }
 
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -613,6 +613,28 @@
 	deaf    bool
 	watches []*storeWatch
 	calls   int
+	// price is what the calls cost, in calls: cheap ones cost a tenth.
+	price float64
+	// past is what cheap calls read, as it was up to staleTime ago.
+	past map[mesh.Kind]*snapshot
+}
+
+// staleTime is how old the data is that cheap calls read.
+const staleTime = 2 * time.Second
+
+type snapshot struct {
+	at       time.Duration
+	objects  map[string]mesh.Object
+	revision uint64
+}
+
+// pastOf returns the objects of a kind as cheap calls read them.
+func (o *objects) pastOf(kind mesh.Kind) *snapshot {
+	if p := o.past[kind]; p != nil && o.site.clock.Now()-p.at < staleTime {
+		return p
+	}
+	o.past[kind] = &snapshot{at: o.site.clock.Now(), objects: maps.Clone(o.kinds[kind]), revision: o.revision}
+	return o.past[kind]
 }
 
 type change struct {
@@ -628,7 +650,7 @@
 }
 
 func newObjects(s *site) *objects {
-	o := &objects{site: s, revision: 1, refuses: map[world.NodeID]bool{}}
+	o := &objects{site: s, revision: 1, refuses: map[world.NodeID]bool{}, past: map[mesh.Kind]*snapshot{}}
 	for i := range o.kinds {
 		o.kinds[i] = map[string]mesh.Object{}
 	}
@@ -683,6 +705,7 @@
 // call runs f at the store and answers the node, unless the store turns it away.
 func (o *storeOf) call(f func(answer func(func())), failed func(error)) {
 	o.calls++
+	o.price++
 	clock := o.site.clock
 	back := func(g func()) {
 		clock.After(storeWay, func() {
@@ -700,14 +723,17 @@
 	})
 }
 
-func (o *storeOf) List(kind mesh.Kind, done func([]mesh.Object, uint64, error)) {
+func (o *storeOf) List(kind mesh.Kind, reading mesh.Reading, done func([]mesh.Object, uint64, error)) {
+	if reading == mesh.ReadCheap {
+		o.price -= 0.9
+	}
 	o.call(func(answer func(func())) {
-		var list []mesh.Object
-		for _, object := range o.kinds[kind] {
-			list = append(list, object)
+		held, revision := o.kinds[kind], o.revision
+		if reading == mesh.ReadCheap {
+			past := o.pastOf(kind)
+			held, revision = past.objects, past.revision
 		}
-		sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-		revision := o.revision
+		list := slices.SortedFunc(maps.Values(held), func(a, b mesh.Object) int { return strings.Compare(a.Name, b.Name) })
 		answer(func() { done(list, revision, nil) })
 	}, func(err error) { done(nil, 0, err) })
 }
--- a/core/mesh/stop.go
+++ b/core/mesh/stop.go
@@ -36,9 +36,6 @@
 	n.gate.Leave()
 	n.refresh()
 	n.exchange()
-	if n.entry != nil {
-		n.entry.remove()
-	}
 	n.Clock.After(leaveTime-sparedTime, func() {
 		n.mu.Lock()
 		n.leaving = true
