Add up the evidence for the call graph over all nodes

A call counted once half of a service's nodes had learned it by themselves, from 25 fitting calls at each: at 34 nodes of a service a node sees five runs a second.

Records hold no edges any more. A node forgets older runs the sooner the more nodes its service has, so that a release shows after as many runs of all.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -89,6 +89,12 @@
 	summed time.Duration
 	// turn is where the next list of loads begins.
 	turn int
+	// evidence is what this node tells of the call graph, evidenceIndex counts its changes.
+	evidence      []*wire.CallEvidence
+	evidenceIndex uint64
+	// edges are the call graph, edgesIndex is the view's index of their last change.
+	edges      []*wire.CallEdge
+	edgesIndex uint64
 }
 
 // member is one node with its newest record.
@@ -104,6 +110,10 @@
 	pulsed time.Duration
 	// counted is the pulse that this node's own report holds, nil if it holds none.
 	counted *wire.Pulse
+	// evidence is what the node tells of the call graph, the others what this node has told it,
+	// by the request under way and before it.
+	evidence                    []*wire.CallEvidence
+	evidenceAsked, evidenceSent uint64
 	// wasSilent is the silence that the view's version counts.
 	wasSilent bool
 	// listed means that the platform lists the node.
@@ -130,6 +140,8 @@
 	return v
 }
 
+func (v *View) selfName() world.NodeID { return world.NodeID(v.self.GetNode()) }
+
 func (v *View) bumpSelf() {
 	v.self.Sequence++
 	v.keepLocked(proto.Clone(v.self).(*wire.FleetRecord))
@@ -250,7 +262,7 @@
 	if name == "" || r.GetPeerAddress() == "" {
 		return false
 	}
-	if name == world.NodeID(v.self.GetNode()) {
+	if name == v.selfName() {
 		v.outliveLocked(r)
 		return false
 	}
@@ -261,7 +273,7 @@
 	isOther := old != nil && old.record.GetIncarnation() != r.GetIncarnation()
 	m := v.keepLocked(r)
 	if isOther {
-		m.failed, m.since, m.sinceIncarnation, m.sent, m.pulse = 0, 0, 0, 0, nil
+		m.failed, m.since, m.sinceIncarnation, m.sent, m.evidenceSent, m.pulse = 0, 0, 0, 0, 0, nil
 	}
 	return true
 }
@@ -305,6 +317,9 @@
 		Incarnation: v.self.GetIncarnation(),
 		LacksSender: !v.hearLocked(req),
 	}
+	if v.edgesIndex > since {
+		reply.Edges, reply.HasEdges = v.edges, true
+	}
 	v.reportLocked(req, reply, since)
 	reply.Index = v.index
 	reply.Records = v.changedLocked(since, world.NodeID(req.GetNode()))
@@ -321,6 +336,10 @@
 	if req.GetPulse() != nil {
 		m.pulse, m.pulsed = req.GetPulse(), m.heard
 	}
+	if req.GetHasEvidence() {
+		m.evidence = req.GetEvidence()
+		v.addEvidenceLocked()
+	}
 	return m.record.GetSequence() >= req.GetSequence()
 }
 
@@ -357,6 +376,10 @@
 		return req, v.index
 	}
 	req.Pulse = v.pulse
+	m.evidenceAsked = v.evidenceIndex
+	if m.evidenceSent < v.evidenceIndex {
+		req.Evidence, req.HasEvidence = v.evidence, true
+	}
 	req.Needs = append(req.Needs, v.self.GetService())
 	for _, service := range needs {
 		if string(service) != v.self.GetService() {
@@ -380,9 +403,13 @@
 	m.failed = 0
 	m.since, m.sinceIncarnation = reply.GetIndex(), reply.GetIncarnation()
 	if isOther || reply.GetLacksSender() {
-		m.sent = 0
+		m.sent, m.evidenceSent = 0, 0
 	} else {
 		m.sent = max(m.sent, index)
+		m.evidenceSent = m.evidenceAsked
+	}
+	if reply.GetHasEdges() && m.record.GetDomain() == v.self.GetDomain() {
+		v.setEdgesLocked(reply.GetEdges())
 	}
 	if !v.takeReportsLocked(reply.GetReports(), req.GetNeeds()) {
 		v.resyncLocked(m)
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		relay := v.relayLocked(domain)
-		if relay != "" && relay != world.NodeID(v.self.GetNode()) {
+		if relay != "" && relay != v.selfName() {
 			targets = append(targets, relay)
 		}
 		if due := v.dueLocked(domain, relay); due != "" {
@@ -67,7 +67,7 @@
 }
 
 func (v *View) isRelayLocked() bool {
-	return v.relayLocked(v.self.GetDomain()) == world.NodeID(v.self.GetNode())
+	return v.relayLocked(v.self.GetDomain()) == v.selfName()
 }
 
 // relayLocked is the first node of a domain that answered when it was last asked. If none did,
--- a/core/fleet/report.go
+++ b/core/fleet/report.go
@@ -38,6 +38,9 @@
 	sums           Sums
 	// uses are the parts of the slots in use, where the sums were left out.
 	uses map[world.ServiceID]float64
+	// evidence adds up what the nodes tell of the call graph, evidenceIndex is as index.
+	evidence      []*wire.CallEvidence
+	evidenceIndex uint64
 }
 
 // KeyOf names a node with its newest record in four bytes.
@@ -56,13 +59,10 @@
 // renewLocked makes this node's own report, and the total of all, unless they are new.
 func (v *View) renewLocked() *report {
 	now := v.clock.Now()
-	if v.own != nil && now-v.own.made < v.options.Period/renewsPerPeriod {
-		return v.own
+	if own := v.ownReport(); own.version > 0 && now-own.made < v.options.Period/renewsPerPeriod {
+		return own
 	}
-	if v.own == nil {
-		v.own = &report{relay: world.NodeID(v.self.GetNode())}
-	}
-	v.countLocked(v.own, now)
+	v.countLocked(v.ownReport(), now)
 	v.total = Sums{}
 	for domain := range v.domains {
 		if r := v.bestLocked(domain); r != nil {
@@ -72,6 +72,14 @@
 	return v.own
 }
 
+// ownReport returns this node's report as it was made last.
+func (v *View) ownReport() *report {
+	if v.own == nil {
+		v.own = &report{relay: v.selfName()}
+	}
+	return v.own
+}
+
 // countLocked counts the nodes that this one hears in its own report.
 func (v *View) countLocked(own *report, now time.Duration) {
 	own.incarnation, own.domain, own.made = v.self.GetIncarnation(), v.self.GetDomain(), now
@@ -139,6 +147,9 @@
 	}
 	if needs == nil {
 		w.Sums = r.sums.wire(nil, "")
+		if r.evidenceIndex > since {
+			w.Evidence, w.HasEvidence = r.evidence, true
+		}
 		return w
 	}
 	for _, service := range needs {
@@ -213,6 +224,10 @@
 	}
 	r.domain, r.made = relay.GetDomain(), made
 	r.sums = sumsOf(w.GetSums())
+	if w.GetHasEvidence() {
+		v.index++
+		r.evidence, r.evidenceIndex = w.GetEvidence(), v.index
+	}
 	r.uses = map[world.ServiceID]float64{}
 	for i, code := range w.GetUses() {
 		if i < len(needs) && code != unknownUse {
--- a/core/fleet/sums.go
+++ b/core/fleet/sums.go
@@ -194,7 +194,7 @@
 func (v *View) Sums() Sums {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.othersLocked(v.nodes[world.NodeID(v.self.GetNode())])
+	return v.othersLocked(v.nodes[v.selfName()])
 }
 
 // Loads returns the calls at the endpoints of the own failure domain that were told last, by node.
--- a/core/graph/graph.go
+++ b/core/graph/graph.go
@@ -5,16 +5,19 @@
 //	l := graph.NewLearner()
 //	l.Ran(route)                       // at the node of a service, for each run
 //	l.Saw(graph.SameEnd, route, child, 1)
-//	edges := l.Edges()                 // told to the other nodes
+//	evidence := l.Evidence()           // told to the relay
+//	edges := graph.Decide(evidence)    // at the relay, of what it was told, added up
+//	l.SetKnown(edges)                  // at all nodes
 //
 //	r := graph.NewReach(table.Routes, edges)
 //	services := r.Services(route)      // where a request enters
 //
 // No node sees a whole request: each sees the runs of its own upstream and the calls that
-// they make. These edges, from one node of each service, make up the graph, so that the
-// node where a request enters knows which services it will load. Edges lead from route to
-// route; the routing table says which services those lead to, so a route that moves takes
-// its edges along.
+// they make, and in a large fleet few of them. So evidence is added up over all nodes, which
+// takes as many runs together as a single node would need. The edges make up the graph, so
+// that the node where a request enters knows which services it will load. Edges lead from
+// route to route; the routing table says which services those lead to, so a route that moves
+// takes its edges along.
 package graph
 
 import (
@@ -35,10 +38,12 @@
 }
 
 const (
-	// mostRuns is the number of runs on a route from which older ones fade: a release
-	// that changes the calls shows after some hundred runs. Time alone fades nothing, as
-	// a route of which nothing is let in keeps its calls.
-	mostRuns = 400
+	// mostRuns is the number of runs on a route, over the nodes of its service, from which
+	// older ones fade: a release that changes the calls shows after some hundred runs. Time
+	// alone fades nothing, as a route of which nothing is let in keeps its calls.
+	mostRuns = 1200
+	// leastFading is the least number of them at one node.
+	leastFading = 40
 	// leastRuns is the number of runs from which the calls on a route are told.
 	leastRuns = 10
 	// leastPerRun is the mean number of calls below which an edge is not told: a service
@@ -55,7 +60,10 @@
 type Learner struct {
 	mu    sync.Mutex
 	runs  map[world.RouteID]float64
-	pairs map[pair]*[kindCount]evidence
+	pairs map[pair]*[KindCount]evidence
+	// known are the calls that all nodes together have learned, nodes is their number.
+	known map[pair]bool
+	nodes int
 }
 
 type pair struct {
@@ -71,7 +79,8 @@
 	SameEnd Kind = iota
 	// LastReply means that a run ended as soon as the reply to a call was there.
 	LastReply
-	kindCount
+	// KindCount is the number of kinds.
+	KindCount
 )
 
 // evidence is a sum of weights, and its variance.
@@ -81,7 +90,7 @@
 
 // NewLearner returns a learner that has seen nothing.
 func NewLearner() *Learner {
-	return &Learner{runs: map[world.RouteID]float64{}, pairs: map[pair]*[kindCount]evidence{}}
+	return &Learner{runs: map[world.RouteID]float64{}, pairs: map[pair]*[KindCount]evidence{}, nodes: 1}
 }
 
 // Ran counts a run.
@@ -89,7 +98,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[route]++
-	if l.runs[route] < mostRuns {
+	if l.runs[route] < max(mostRuns/float64(l.nodes), leastFading) {
 		return
 	}
 	l.runs[route] /= 2
@@ -111,7 +120,7 @@
 	p := pair{route: route, child: child}
 	kinds := l.pairs[p]
 	if kinds == nil {
-		kinds = &[kindCount]evidence{}
+		kinds = &[KindCount]evidence{}
 		l.pairs[p] = kinds
 	}
 	kinds[kind].sum += weight
@@ -122,13 +131,35 @@
 func (l *Learner) Calls(route, child world.RouteID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	kinds := l.pairs[pair{route: route, child: child}]
+	p := pair{route: route, child: child}
+	if l.known[p] {
+		return true
+	}
+	kinds := l.pairs[p]
 	return kinds != nil && perRun(kinds, l.runs[route]) > 0
 }
 
+// SetNodes sets the number of nodes of the service.
+func (l *Learner) SetNodes(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nodes = max(n, 1)
+}
+
+// SetKnown takes in what all nodes together have learned.
+func (l *Learner) SetKnown(edges []Edge) {
+	known := make(map[pair]bool, len(edges))
+	for _, e := range edges {
+		known[pair{route: e.Route, child: e.Child}] = true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known = known
+}
+
 // perRun is the number of calls in a run that the best evidence shows, 0 as long as none
 // is sure.
-func perRun(kinds *[kindCount]evidence, runs float64) float64 {
+func perRun(kinds *[KindCount]evidence, runs float64) float64 {
 	if runs < leastRuns {
 		return 0
 	}
@@ -144,14 +175,42 @@
 	return most
 }
 
-// Edges returns what was learned, in a fixed order.
-func (l *Learner) Edges() []Edge {
+// Evidence is what speaks for it that runs on a route make calls on another one: a sum of weights
+// and its variance, by kind.
+type Evidence struct {
+	Route, Child    world.RouteID
+	Runs            float64
+	Sums, Variances [KindCount]float64
+}
+
+// Evidence returns what was seen, in a fixed order.
+func (l *Learner) Evidence() []Evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var edges []Edge
+	list := make([]Evidence, 0, len(l.pairs))
 	for p, kinds := range l.pairs {
-		if n := perRun(kinds, l.runs[p.route]); n > 0 {
-			edges = append(edges, Edge{Route: p.route, Child: p.child, PerRun: n})
+		e := Evidence{Route: p.route, Child: p.child, Runs: l.runs[p.route]}
+		for k := range kinds {
+			e.Sums[k], e.Variances[k] = kinds[k].sum, kinds[k].variance
+		}
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Child, b.Child))
+	})
+	return list
+}
+
+// Decide returns the calls that evidence shows, in a fixed order.
+func Decide(list []Evidence) []Edge {
+	var edges []Edge
+	for _, e := range list {
+		var kinds [KindCount]evidence
+		for k := range kinds {
+			kinds[k] = evidence{sum: e.Sums[k], variance: e.Variances[k]}
+		}
+		if n := perRun(&kinds, e.Runs); n > 0 {
+			edges = append(edges, Edge{Route: e.Route, Child: e.Child, PerRun: n})
 		}
 	}
 	Sort(edges)
--- a/core/graph/graph_test.go
+++ b/core/graph/graph_test.go
@@ -14,7 +14,7 @@
 func TestEdgesAreWhatChanceDoesNotExplain(t *testing.T) {
 	c := qt.New(t)
 	l := graph.NewLearner()
-	c.Assert(l.Edges(), qt.HasLen, 0)
+	c.Assert(graph.Decide(l.Evidence()), qt.HasLen, 0)
 	for i := range 1000 {
 		l.Ran("view")
 		l.Saw(graph.SameEnd, "view", "hold", 1)
@@ -30,7 +30,7 @@
 	expectEdges(c, l, "view>hold", "view>map")
 	c.Assert(l.Calls("view", "map"), qt.IsTrue)
 	c.Assert(l.Calls("map", "view"), qt.IsFalse)
-	perRun := l.Edges()[1].PerRun
+	perRun := graph.Decide(l.Evidence())[1].PerRun
 	c.Assert(math.Abs(perRun-2) < 0.05, qt.IsTrue, qt.Commentf("%v", perRun))
 }
 
@@ -52,7 +52,7 @@
 func expectEdges(c *qt.C, l *graph.Learner, want ...string) {
 	c.Helper()
 	var got []string
-	for _, e := range l.Edges() {
+	for _, e := range graph.Decide(l.Evidence()) {
 		got = append(got, string(e.Route+">"+e.Child))
 	}
 	c.Assert(got, qt.DeepEquals, want)
--- /dev/null
+++ b/core/mesh/large_test.go
@@ -0,0 +1,55 @@
+package mesh_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wagtailyoke/core/wire"
+)
+
+// newLargeYard is the yard at the size of 95 nodes in five failure domains: the same requests, with
+// services of which each entry sees few calls, and six endpoints of the gate.
+func newLargeYard(c *qt.C, seed int64) *site {
+	small := newYard(c, seed)
+	speeds := func(n int) []float64 {
+		list := make([]float64, 0, n)
+		for i := range n {
+			list = append(list, []float64{0.7, 0.85, 1, 1.2, 1.5}[(7*i+i/5)%5])
+		}
+		return list
+	}
+	services := []service{{"desk", 22, speeds(34)}, {"book", 22, speeds(26)}, {"price", 22, speeds(29)}, {"gate", 18, speeds(6)}}
+	return newSite(c, seed, 5, services, small.table.Routes, yardCustomers(), small.jobs)
+}
+
+// largeUsual is the demand of an ordinary day at the large yard.
+var largeUsual = map[string]float64{"view": 187, "reserve": 88, "bin": 65, "quote": 65}
+
+// yardEdges are the calls that runs make in the yard.
+var yardEdges = map[string]bool{"view>hold": true, "reserve>rates": true, "hold>rates": true, "rates>map": true}
+
+func (v *vm) edges() map[string]bool {
+	got := map[string]bool{}
+	for _, e := range v.node.HandleExchange(&wire.ExchangeRequest{}).GetEdges() {
+		got[e.GetRoute()+">"+e.GetChild()] = true
+	}
+	return got
+}
+
+// TestLargeFleetLearnsTheGraphAsFast expects that all nodes know the graph two seconds after the first
+// requests, though each node has seen few runs by then, and that chance adds nothing later.
+func TestLargeFleetLearnsTheGraphAsFast(t *testing.T) {
+	c := qt.New(t)
+	s := newLargeYard(c, 51)
+	s.run(4 * time.Second)
+	s.load(2*time.Second, largeUsual, map[string]*outcome{})
+	for _, v := range s.nodes {
+		c.Assert(v.edges(), qt.DeepEquals, yardEdges, qt.Commentf("at %s", v.name))
+	}
+	for range 10 {
+		s.load(time.Second, largeUsual, map[string]*outcome{})
+		c.Assert(s.nodes[0].edges(), qt.DeepEquals, yardEdges)
+	}
+}
--- a/core/mesh/levels.go
+++ b/core/mesh/levels.go
@@ -132,35 +132,53 @@
 	return highest
 }
 
-// learnGraph takes in the calls that the runs of all upstreams make. A call counts if most
-// of a service's nodes that know any tell it: a single one may be mistaken.
-func (n *Node) learnGraph(others []fleet.Node) {
+// learnGraph takes in the calls that the runs of all upstreams make.
+func (n *Node) learnGraph(nodes []fleet.Node) {
+	peers := 0
+	for _, node := range nodes {
+		if node.Record.GetService() == string(n.callerService()) {
+			peers++
+		}
+	}
+	n.graph.SetNodes(peers)
 	t := n.table.Load()
 	if t == nil {
 		return
 	}
-	type told struct {
-		service string
-		edge    graph.Edge
+	var edges []graph.Edge
+	for _, e := range n.view.Edges() {
+		edges = append(edges, graph.Edge{Route: world.RouteID(e.GetRoute()), Child: world.RouteID(e.GetChild())})
 	}
-	nodes, votes := map[string]int{}, map[told]int{}
-	for _, node := range others {
-		r := node.Record
-		if len(r.GetEdges()) > 0 {
-			nodes[r.GetService()]++
-		}
-		for _, e := range r.GetEdges() {
-			votes[told{service: r.GetService(), edge: graph.Edge{Route: world.RouteID(e.GetRoute()), Child: world.RouteID(e.GetChild())}}]++
+	n.graph.SetKnown(edges)
+	n.pressures.setGraph(t.Table, edges)
+}
+
+// decideGraph decides at a relay, from what all nodes tell, which calls runs make.
+func (n *Node) decideGraph() {
+	if !n.view.IsRelay() {
+		return
+	}
+	var list []graph.Evidence
+	for _, w := range n.view.Evidence() {
+		e := graph.Evidence{Route: world.RouteID(w.GetRoute()), Child: world.RouteID(w.GetChild()), Runs: float64(w.GetRuns())}
+		for k := range min(len(w.GetSums()), len(w.GetVariances()), int(graph.KindCount)) {
+			e.Sums[k], e.Variances[k] = float64(w.GetSums()[k]), float64(w.GetVariances()[k])
 		}
+		list = append(list, e)
 	}
-	var edges []graph.Edge
-	for v, count := range votes {
-		if 2*count >= nodes[v.service] {
-			edges = append(edges, v.edge)
+	n.view.SetEdges(wireEdges(graph.Decide(list)))
+}
+
+func wireEvidence(list []graph.Evidence) []*wire.CallEvidence {
+	var all []*wire.CallEvidence
+	for _, e := range list {
+		w := &wire.CallEvidence{Route: string(e.Route), Child: string(e.Child), Runs: float32(e.Runs)}
+		for k := range graph.KindCount {
+			w.Sums, w.Variances = append(w.Sums, float32(e.Sums[k])), append(w.Variances, float32(e.Variances[k]))
 		}
+		all = append(all, w)
 	}
-	graph.Sort(edges)
-	n.pressures.setGraph(t.Table, edges)
+	return all
 }
 
 const (
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -16,7 +16,6 @@
 
 	"wagtailyoke/core/mesh"
 	"wagtailyoke/core/table"
-	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
 )
 
@@ -176,14 +175,7 @@
 	s := newYard(c, 12)
 	s.run(3 * time.Second)
 	s.load(20*time.Second, usual, map[string]*outcome{})
-	want := map[string]bool{"view>hold": true, "reserve>rates": true, "hold>rates": true, "rates>map": true}
-	got := map[string]bool{}
-	for _, record := range s.nodes[0].node.HandleExchange(&wire.ExchangeRequest{}).GetRecords() {
-		for _, e := range record.GetEdges() {
-			got[e.GetRoute()+">"+e.GetChild()] = true
-		}
-	}
-	c.Assert(got, qt.DeepEquals, want)
+	c.Assert(s.nodes[0].edges(), qt.DeepEquals, yardEdges)
 }
 
 func expectLittleWasted(c *qt.C, s *site, got map[string]*outcome) {
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -39,6 +39,7 @@
 func (n *Node) tick() {
 	n.gate.Measure()
 	n.refresh()
+	n.decideGraph()
 	n.exchange()
 	n.sweep()
 	n.useRecords()
@@ -71,15 +72,15 @@
 		Load: uint32(running + waiting), Level: float32(n.line.Level()), Needs: wireNeeds(n.line.Needs()),
 		Arrivals: float32(n.line.Rate()), Offers: n.wireOffers(),
 	}
-	edges := wireEdges(n.graph.Edges())
 	n.view.SetSelf(func(r *wire.FleetRecord) {
-		r.Upstream, r.Service, r.Limit, r.Edges = info, string(service), uint32(limit), edges
+		r.Upstream, r.Service, r.Limit = info, string(service), uint32(limit)
 		r.Stopping, r.Leaving = isStopping, isLeaving
 		if hasEndpoint(r) {
 			pulse.Slots = r.Limit
 		}
 	})
 	n.view.SetPulse(pulse)
+	n.view.SetEvidence(wireEvidence(n.graph.Evidence()))
 }
 
 func (n *Node) tableVersion() world.ConfigVersion {
