Take a relay's word only for the table that both have

Cause: a node confirmed its routing table as the newest when its relay told that an older one was. That a relay knows less says nothing about the own table; a relay that was paused with an older one would make its nodes trust theirs for another 1.5 s.

Change: the versions must be the same.

Test: none of its own; TestTableIsInForceEverywhereInTime and TestTableOfUnknownAgeIsNotCalledNew hold.

--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -146,7 +146,7 @@
 	n.view.Answered(name, req, reply, index)
 	n.useRecords()
 	n.noteVersion(address, world.ConfigVersion(reply.GetTableVersion()))
-	if world.ConfigVersion(reply.GetTableVersion()) <= n.tableVersion() {
+	if world.ConfigVersion(reply.GetTableVersion()) == n.tableVersion() {
 		n.confirmTable(n.Clock.Now() - sent + time.Duration(reply.GetTableAgeMs())*time.Millisecond)
 	}
 	if reply.GetIsUnlisted() {
