Count the age of a report from when it was asked for

A node took a report's age as of the answer's arrival, so each answer made it younger by its way, and relays that ask each other for what they miss could keep a report of a cut-off domain young.

Change: the age counts from the request.

Test: TestSlowAnswersMakeNothingYounger: overlapping slow answers between five relays, a sixth domain cut off; failed, silent nodes counted as heard.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -125,6 +125,8 @@
 	sinceIncarnation uint64
 	// sent is the own index up to which the node has this node's news.
 	sent uint64
+	// asked is when the request under way to the node was made.
+	asked time.Duration
 	// resynced is when the node was last asked for all records, 0 if it was not.
 	resynced time.Duration
 }
@@ -364,6 +366,7 @@
 	if m == nil {
 		return req, 0
 	}
+	m.asked = v.clock.Now()
 	req.Since, req.SinceIncarnation = m.since, m.sinceIncarnation
 	isFar := m.record.GetDomain() != v.self.GetDomain()
 	for _, r := range v.changedLocked(m.sent, name) {
@@ -411,7 +414,7 @@
 	if reply.GetHasEdges() && m.record.GetDomain() == v.self.GetDomain() {
 		v.setEdgesLocked(reply.GetEdges())
 	}
-	if !v.takeReportsLocked(reply.GetReports(), req.GetNeeds()) {
+	if !v.takeReportsLocked(reply.GetReports(), req.GetNeeds(), m.asked) {
 		v.resyncLocked(m)
 	}
 	if m.record.GetDomain() == v.self.GetDomain() {
--- a/core/fleet/report.go
+++ b/core/fleet/report.go
@@ -186,9 +186,12 @@
 	return uses
 }
 
-// takeReportsLocked takes in reports; needs are the services that their uses are of. It returns
-// false if they name nodes that are not known.
-func (v *View) takeReportsLocked(list []*wire.Report, needs []string) (isKnown bool) {
+// takeReportsLocked takes in reports; needs are the services that their uses are of, asked is when
+// they were asked for. It returns false if they name nodes that are not known.
+//
+// A report's age counts from asked: were it counted from the answer, the way of each answer would make
+// a report younger, and one that relays pass to each other would never grow old.
+func (v *View) takeReportsLocked(list []*wire.Report, needs []string, asked time.Duration) (isKnown bool) {
 	isKnown = true
 	for _, w := range list {
 		relay := v.keys[w.GetRelay()]
@@ -196,16 +199,16 @@
 			isKnown = false
 			continue
 		}
-		if relay.record.GetNode() != v.self.GetNode() && !v.takeReportLocked(relay.record, w, needs) {
+		if relay.record.GetNode() != v.self.GetNode() && !v.takeReportLocked(relay.record, w, needs, asked) {
 			isKnown = false
 		}
 	}
 	return isKnown
 }
 
-func (v *View) takeReportLocked(relay *wire.FleetRecord, w *wire.Report, needs []string) (isKnown bool) {
+func (v *View) takeReportLocked(relay *wire.FleetRecord, w *wire.Report, needs []string, asked time.Duration) (isKnown bool) {
 	name, incarnation := world.NodeID(relay.GetNode()), relay.GetIncarnation()
-	made := v.clock.Now() - time.Duration(w.GetAgeMs())*time.Millisecond
+	made := asked - time.Duration(w.GetAgeMs())*time.Millisecond
 	r := v.reports[name]
 	if r != nil && incarnation == r.incarnation && made <= r.made {
 		return true
--- a/core/fleet/report_test.go
+++ b/core/fleet/report_test.go
@@ -228,6 +228,51 @@
 	}
 }
 
+// TestSlowAnswersMakeNothingYounger cuts a failure domain off while answers between the others take
+// their time and overlap: what they pass on of it from one to the other must age all the same.
+func TestSlowAnswersMakeNothingYounger(t *testing.T) {
+	c := qt.New(t)
+	const domains, way = 6, 160 * time.Millisecond
+	d := newDeployment(domains, 1, 4)
+	pairs := 0
+	for i, name := range d.names {
+		for j, to := range d.names {
+			if i == j {
+				continue
+			}
+			pairs++
+			phase := time.Duration(pairs) * period / (domains * (domains - 1))
+			d.clock.After(phase, func() {
+				timer.Every(d.clock, period, func() { d.askSlowly(name, to, way) })
+			})
+		}
+	}
+	d.clock.Run(d.clock.Now() + 3*time.Second)
+	d.expectWhole(t)
+	for _, other := range d.names[1:] {
+		d.isCut[[2]string{"d00", d.views[other].Self().GetDomain()}] = true
+	}
+	// Silence counts from 1.25 s on, and the last answers from before the cut are on their way.
+	d.clock.Run(d.clock.Now() + 1250*time.Millisecond + 2*way)
+	for _, name := range d.names[1:] {
+		for _, node := range d.views[name].Nodes() {
+			c.Assert(node.IsSilent, qt.Equals, node.Record.GetDomain() == "d00", qt.Commentf("%s at %s", node.Record.GetNode(), name))
+		}
+	}
+}
+
+// askSlowly exchanges over a link whose answers take a while.
+func (d *deployment) askSlowly(name, to world.NodeID, way time.Duration) {
+	v, target := d.views[name], d.views[to]
+	from, at := v.Self().GetDomain(), target.Self().GetDomain()
+	req, index := v.Ask(to, needed)
+	if d.isCut[[2]string{from, at}] || d.isCut[[2]string{at, from}] {
+		return
+	}
+	reply := target.Answer(req)
+	d.clock.After(way, func() { v.Answered(to, req, reply, index) })
+}
+
 // Bounds of the exchange for a node that is not a relay: four exchanges a second, and 3 KB a
 // second for both ways, of the target's figures. No record travels in a calm fleet.
 const (
