--- a/core/place/place.go
+++ b/core/place/place.go
@@ -207,24 +207,29 @@
 	return best.Endpoint, true
 }
 
-// usableLocked returns the endpoints that may be tried. Those that are excluded or silent
-// are left out unless nothing else is left.
+// usableLocked returns the endpoints that may be tried. Those that are excluded are left out unless
+// nothing else is left, those that are silent unless even no excluded one is: in a failure domain that
+// is cut off, endpoints fail by the calls that they make, and those outside do not answer at all.
 func (p *Picker) usableLocked(service world.ServiceID, tried []world.NodeID) []*state {
 	now := p.clock.Now()
-	var good, rest []*state
+	var good, excluded, silent []*state
 	for _, s := range p.services[service] {
 		switch {
 		case slices.Contains(tried, s.Node) || now < s.leaving:
-		case now < s.excluded || s.IsSilent:
-			rest = append(rest, s)
+		case s.IsSilent:
+			silent = append(silent, s)
+		case now < s.excluded:
+			excluded = append(excluded, s)
 		default:
 			good = append(good, s)
 		}
 	}
-	if len(good) > 0 {
-		return good
+	for _, list := range [][]*state{good, excluded} {
+		if len(list) > 0 {
+			return list
+		}
 	}
-	return rest
+	return silent
 }
 
 // drawLocked draws an endpoint at random, a better one much more likely. A firm choice of
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -148,6 +148,20 @@
 	c.Assert(play(clock, p, 100, answer)["new"] > 20, qt.IsTrue)
 }
 
+// TestFailingEndpointGoesBeforeASilentOne plays a failure domain that is cut off: its own endpoint fails
+// now and then, those outside have not been heard of.
+func TestFailingEndpointGoesBeforeASilentOne(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewVirtual()
+	silent := []place.Endpoint{endpoint("b", "far"), endpoint("c", "far")}
+	for i := range silent {
+		silent[i].IsSilent = true
+	}
+	p := newPicker(clock, append(silent, endpoint("a", "near"))...)
+	counts := play(clock, p, 100, func(place.Endpoint) place.Outcome { return place.Outcome{Failed: true} })
+	c.Assert(counts["a"], qt.Equals, 100, qt.Commentf("%v", counts))
+}
+
 // TestSomeEndpointIsLeft expects that endpoints that are out of reach or excluded are tried
 // rather than none, but not those that have left.
 func TestSomeEndpointIsLeft(t *testing.T) {
