Keep the call graph in the platform's store

Ruled out: learning faster still (it takes the runs that it takes).

The first relay writes the graph among the entries once it has stayed the same for two seconds, at most every ten; nodes that start read it with the entries. At a relay, kept calls of a route count until 100 runs on it were seen.

Tests: TestGraphOutlivesARestartOfAllNodes (known a second after the restart; calls that are no longer made go), FuzzGraph.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -36,6 +36,7 @@
 	EntryRejected     Number = 404
 	EntryDropped      Number = 405
 	QuarantineNotKept Number = 406
+	GraphNotKept      Number = 407
 	PeerSilent        Number = 410
 	Refused           Number = 500
 	Failed            Number = 501
@@ -84,6 +85,7 @@
 	Cancelled:         "a request was given up, since its caller has gone",
 	PressureShed:      "a request is refused at the entry, since it would be shed deeper",
 	AnswerCut:         "an answer that had begun did not end before its caller left",
+	GraphNotKept:      "the call graph could not be written to the platform's store; it is tried again",
 	LevelRaised:       "requests that reach the upstream's service are refused at the entries",
 	LineDropped:       "a call was not let into the upstream",
 	LinesOmitted:      "lines of an event were left out to keep its budget",
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -47,16 +47,26 @@
 func (v *View) IsLead() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.isRelayLocked() {
-		return false
-	}
+	return v.isRelayLocked() && v.relaysBeforeLocked() < leads
+}
+
+// relaysBeforeLocked counts the failure domains before the own one whose relays are heard.
+func (v *View) relaysBeforeLocked() int {
 	before, now := 0, v.clock.Now()
 	for domain := range v.domains {
 		if relay := v.nodes[v.relayLocked(domain)]; domain < v.self.GetDomain() && relay != nil && !v.isSilentLocked(relay, now) {
 			before++
 		}
 	}
-	return before < leads
+	return before
+}
+
+// IsFirst reports whether this node is the first of those that follow the platform's store, which
+// writes for all. Two that take themselves for it at once cost a write.
+func (v *View) IsFirst() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.isRelayLocked() && v.relaysBeforeLocked() == 0
 }
 
 // HearsRelay reports whether another node of the failure domain is the relay and has answered lately.
--- a/core/mesh/announce.go
+++ b/core/mesh/announce.go
@@ -107,8 +107,7 @@
 	a.mu.Unlock()
 	var records []*wire.FleetRecord
 	for _, o := range objects {
-		if o.Name == quarantineName {
-			a.n.keeper.take(o)
+		if a.isShared(o) {
 			continue
 		}
 		if e, ok := a.read(o); ok {
@@ -135,8 +134,7 @@
 
 func (a *announcer) changed(o Object) {
 	name := world.NodeID(o.Name)
-	if o.Name == quarantineName {
-		a.n.keeper.take(o)
+	if a.isShared(o) {
 		return
 	}
 	if o.IsDeleted {
@@ -158,6 +156,19 @@
 	a.write()
 }
 
+// isShared takes in an object that is no entry but of all nodes. It reports whether it is one.
+func (a *announcer) isShared(o Object) bool {
+	switch o.Name {
+	case quarantineName:
+		a.n.keeper.take(o)
+	case graphName:
+		a.n.recall.take(o)
+	default:
+		return false
+	}
+	return true
+}
+
 // read takes in an entry. One that is malformed names no node.
 func (a *announcer) read(o Object) (Entry, bool) {
 	e, err := DecodeEntry(o.Name, o.Value)
--- a/core/mesh/large_test.go
+++ b/core/mesh/large_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wagtailyoke/core/mesh"
 	"wagtailyoke/core/wire"
 )
 
@@ -53,3 +54,48 @@
 		c.Assert(s.nodes[0].edges(), qt.DeepEquals, yardEdges)
 	}
 }
+
+// TestGraphOutlivesARestartOfAllNodes kills all nodes once they have learned the graph, and expects that
+// they know it when they serve again, and that calls which are no longer made are forgotten.
+func TestGraphOutlivesARestartOfAllNodes(t *testing.T) {
+	c := qt.New(t)
+	s := newYard(c, 52)
+	s.run(4 * time.Second)
+	s.load(8*time.Second, usual, map[string]*outcome{})
+	for _, v := range s.nodes {
+		v.kill()
+	}
+	s.run(500 * time.Millisecond)
+	for _, v := range s.nodes {
+		v.start()
+	}
+	s.run(time.Second)
+	for _, v := range s.nodes {
+		c.Assert(v.edges(), qt.DeepEquals, yardEdges, qt.Commentf("at %s", v.name))
+	}
+	hold := s.jobs["hold"]
+	hold.calls = nil
+	s.jobs["hold"] = hold
+	s.load(20*time.Second, usual, map[string]*outcome{})
+	c.Assert(s.nodes[0].edges()["hold>rates"], qt.IsFalse)
+	c.Assert(s.nodes[0].edges()["rates>map"], qt.IsTrue)
+}
+
+// FuzzGraph feeds the reader of the kept call graph what others may have written.
+func FuzzGraph(f *testing.F) {
+	f.Add([]byte(`{"edges":[{"route":"a","child":"b"}]}`))
+	f.Add([]byte(`{"edges":[{"route":"a"}]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		edges, err := mesh.DecodeGraph(value)
+		if err != nil {
+			return
+		}
+		again, err := mesh.EncodeGraph(edges)
+		if err != nil {
+			t.Fatalf("%q is read and cannot be written: %v", value, err)
+		}
+		if _, err := mesh.DecodeGraph(again); err != nil {
+			t.Fatalf("%q is written and cannot be read: %v", again, err)
+		}
+	})
+}
--- a/core/mesh/levels.go
+++ b/core/mesh/levels.go
@@ -159,16 +159,31 @@
 		return
 	}
 	var list []graph.Evidence
+	runs := map[string]float64{}
 	for _, w := range n.view.Evidence() {
 		e := graph.Evidence{Route: world.RouteID(w.GetRoute()), Child: world.RouteID(w.GetChild()), Runs: float64(w.GetRuns())}
 		for k := range min(len(w.GetSums()), len(w.GetVariances()), int(graph.KindCount)) {
 			e.Sums[k], e.Variances[k] = float64(w.GetSums()[k]), float64(w.GetVariances()[k])
 		}
 		list = append(list, e)
+		runs[w.GetRoute()] = max(runs[w.GetRoute()], e.Runs)
 	}
-	n.view.SetEdges(wireEdges(graph.Decide(list)))
+	edges := graph.Decide(list)
+	for _, e := range n.recall.edges() {
+		kept := graph.Edge{Route: world.RouteID(e.GetRoute()), Child: world.RouteID(e.GetChild())}
+		isDecided := slices.ContainsFunc(edges, func(other graph.Edge) bool { return isSameCall(kept, other) })
+		if !isDecided && runs[e.GetRoute()] < recallRuns {
+			edges = append(edges, kept)
+		}
+	}
+	graph.Sort(edges)
+	n.view.SetEdges(wireEdges(edges))
 }
 
+// recallRuns is the number of runs on a route, over all nodes, from which what they show counts
+// instead of what the store has kept: some of the evidence for each call is there by then.
+const recallRuns = 100
+
 func wireEvidence(list []graph.Evidence) []*wire.CallEvidence {
 	var all []*wire.CallEvidence
 	for _, e := range list {
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -184,9 +184,11 @@
 	budgets   *retry.Allowances
 	upstream  upstreams
 	lives     lives
-	// quarantine knows the requests that ended upstreams, keeper keeps them in the store.
+	// quarantine knows the requests that ended upstreams; keeper keeps them in the store, recall
+	// the call graph.
 	quarantine *once.Quarantine
 	keeper     *keeper
+	recall     *recall
 	news       spread
 	needs      needs
 	entry      *announcer
@@ -243,7 +245,7 @@
 		splitter:     table.NewSplitter(),
 		quarantine:   once.NewQuarantine(d.Clock, quarantineLimits),
 	}
-	n.keeper = newKeeper(n)
+	n.keeper, n.recall = newKeeper(n), &recall{n: n}
 	self := &wire.FleetRecord{
 		Node:        string(d.Info.Name),
 		Domain:      string(d.Info.Domain),
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -44,6 +44,7 @@
 	n.sweep()
 	n.useRecords()
 	n.keeper.keep()
+	n.recall.keep()
 	n.showLevel()
 	n.showState()
 }
