Let a relay ask the nodes that it does not hear

For six seconds the domain had no endpoint of that service in use, and its calls went to silent ones outside.

Ruled out: the exclusion of failing endpoints (mended before; price and book calls stopped going outside, those to this service did not); what the store keeps of the graph.

Change: a relay asks the silent nodes of its failure domain too, one at a time, each once a second, and brings its own record. The node that has started asks back, gets the records, and the table by its version.

Test: TestNodeThatStartsInACutOffDomainJoins: was not ready after 3.5 s, now it is and its upstream serves.

--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -9,7 +9,9 @@
 
 // Targets returns the nodes to exchange with: the relay of the own failure domain, and if this
 // node is the relay, those of all others. Nodes that did not answer are asked again beside them:
-// waiting for one that is gone must not keep this one's news from the others.
+// waiting for one that is gone must not keep this one's news from the others. A relay also asks
+// the nodes of its failure domain that it does not hear, one at a time: a node that has started
+// while the domain is cut off from the platform's store knows nobody, and hears of the relay so.
 func (v *View) Targets() []world.NodeID {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -28,9 +30,30 @@
 			targets = append(targets, due)
 		}
 	}
+	if missing := v.missingLocked(); isRelay && missing != "" && !slices.Contains(targets, missing) {
+		targets = append(targets, missing)
+	}
 	return targets
 }
 
+// missingLocked is the node of the own failure domain that was not heard of and not asked for longest,
+// if one is due. It may be another process, which was told nothing yet.
+func (v *View) missingLocked() world.NodeID {
+	var missing *member
+	now := v.clock.Now()
+	for _, m := range v.domains[v.self.GetDomain()] {
+		isDue := now-max(m.asked, m.failed) >= relayRetry*v.options.Period
+		if isDue && v.isSilentLocked(m, now) && (missing == nil || m.asked < missing.asked) {
+			missing = m
+		}
+	}
+	if missing == nil {
+		return ""
+	}
+	missing.sent = 0
+	return world.NodeID(missing.record.GetNode())
+}
+
 // IsRelay reports whether this node is the relay of its failure domain.
 func (v *View) IsRelay() bool {
 	v.mu.Lock()
--- a/core/mesh/follow_test.go
+++ b/core/mesh/follow_test.go
@@ -27,3 +27,34 @@
 		c.Assert(age <= 2*time.Second, qt.IsTrue, qt.Commentf("%s calls its table %v old", v.name, age))
 	}
 }
+
+// TestNodeThatStartsInACutOffDomainJoins restarts a node while its failure domain reaches neither the
+// others nor the store: it finds its neighbours, and they find its upstream.
+func TestNodeThatStartsInACutOffDomainJoins(t *testing.T) {
+	c := qt.New(t)
+	s := newYard(c, 42)
+	s.run(4 * time.Second)
+	s.load(2*time.Second, usual, map[string]*outcome{})
+	for _, v := range s.nodes {
+		if v.domain != "d0" {
+			continue
+		}
+		s.store.refuses[v.name] = true
+		for _, other := range s.nodes {
+			s.cut[[2]int{v.index, other.index}] = s.cut[[2]int{v.index, other.index}] || other.domain != "d0"
+		}
+	}
+	gate := s.named("gate-0")
+	gate.kill()
+	s.run(500 * time.Millisecond)
+	gate.start()
+	s.run(3500 * time.Millisecond)
+	c.Assert(gate.node.IsReady(), qt.IsTrue)
+	got := &outcome{}
+	for range 20 {
+		s.ask(s.named("desk-0"), s.route("bin"), key, got)
+		s.run(100 * time.Millisecond)
+	}
+	s.run(2 * time.Second)
+	c.Assert(got.served, qt.Equals, got.asked, qt.Commentf("%+v", *got))
+}
