Read the version of the records before the records

A record that changed between the two was marked as taken in, though endpoints and graph were made from the list before it, and stayed so until the next change of any record.

Change: the version is read first, so that such a change is taken in twice at worst.

--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -252,9 +252,10 @@
 // useRecords takes in what is known of the other nodes. What follows from their records alone
 // is made anew only when one has changed.
 func (n *Node) useRecords() {
+	// The version first: a change in between is then taken in again, not passed over.
+	version, t := n.view.Version(), n.table.Load()
 	nodes := n.view.Nodes()
 	n.gate.SetPeers(n.peersOf(nodes))
-	version, t := n.view.Version(), n.table.Load()
 	n.usedMu.Lock()
 	isNew := n.usedVersion != version || n.usedTable != t
 	n.usedVersion, n.usedTable = version, t
