--- a/core/mesh/recall.go
+++ b/core/mesh/recall.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// edges returns the kept calls of a route.
+// edges returns the kept calls.
 func (r *recall) edges() []*wire.CallEdge {
 	r.mu.Lock()
 	defer r.mu.Unlock()
