--- a/core/mesh/fleet_test.go
+++ b/core/mesh/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -101,6 +102,65 @@
 	}
 }
 
+// TestControlStaysBoundedThroughTrouble kills the relays of a fleet of 100 nodes in turn, cuts a failure
+// domain off, and restarts all nodes of another one. What nodes have to be told again comes on top, but
+// stays within twice the calm bound over the whole time.
+func TestControlStaysBoundedThroughTrouble(t *testing.T) {
+	c := qt.New(t)
+	s := newFleet(c, 32, 5, 20)
+	s.run(4 * time.Second)
+	rates := map[string]float64{}
+	for _, r := range s.table.Routes {
+		rates[string(r.ID)] = float64(len(s.nodes))
+	}
+	s.load(3*time.Second, rates, map[string]*outcome{})
+	relays := s.relays()
+	s.clock.After(time.Second, func() { s.restartAfter(relays["d0"], 2*time.Second) })
+	s.clock.After(3*time.Second, func() { s.restartAfter(relays["d1"], time.Second) })
+	s.clock.After(5*time.Second, func() { s.cutOff("d2") })
+	s.clock.After(8*time.Second, func() { s.cut = map[[2]int]bool{} })
+	s.clock.After(10*time.Second, func() {
+		for _, v := range s.nodes {
+			if v.domain == "d3" {
+				s.restartAfter(v.name, 500*time.Millisecond)
+			}
+		}
+	})
+	const seconds = 16
+	s.measureControl(seconds*time.Second, rates)
+	// Two nodes of each failure domain have been its relay, or may have been.
+	var bytes []int
+	for _, v := range s.nodes {
+		bytes = append(bytes, v.control.bytes/seconds)
+	}
+	slices.Sort(bytes)
+	busiest := bytes[len(bytes)-2*len(relays)-1]
+	c.Logf("%d bytes a second at the busiest node that was no relay", busiest)
+	c.Assert(float64(busiest) <= 2*mostControlBytes, qt.IsTrue, qt.Commentf("%v", bytes))
+	for _, v := range s.nodes {
+		reply := v.node.HandleExchange(&wire.ExchangeRequest{})
+		c.Assert(reply.GetRecords(), qt.HasLen, len(s.nodes), qt.Commentf("at %s", v.name))
+	}
+}
+
+// restartAfter kills a node and starts it again after a time.
+func (s *site) restartAfter(name world.NodeID, d time.Duration) {
+	v := s.named(name)
+	v.kill()
+	s.clock.After(d, v.start)
+}
+
+// cutOff cuts a failure domain off from the others.
+func (s *site) cutOff(domain world.DomainID) {
+	for _, a := range s.nodes {
+		for _, b := range s.nodes {
+			if a.domain == domain && b.domain != domain {
+				s.cut[[2]int{a.index, b.index}] = true
+			}
+		}
+	}
+}
+
 // mostCallsAStart is what a start may cost at the store: the table, the other nodes at a cheap
 // price, and the own entry if it is not there.
 const mostCallsAStart = 2.2
