Write once what the exchange and the objects of all nodes share

Cause: a last reading of the change. recall.go had written keep.go's handling of an object in the store again: the revision that fences a read, the conditional write, what a conflict and a lost object mean. core/mesh and core/fleet each had a comparison of graphs, a sum by grade and its shortening for a message; edges were converted in two places. In core/fleet, what a request under way had brought was half in the node's state and half an index passed through the callers; the own evidence was held twice; Answered told something that nobody asked; and choosing whom to ask reset what a silent node was told also at nodes that are no relay.

Change: common[T] (common.go) holds and writes an object of all nodes, keeper and recall decide when. fleet.IsSameGraph, Total and Floats, graphEdges. Ask and Answered without the index. needs.note takes one service, as its callers give it. Behaviour is the same but for the reset at nodes that are no relay, which only made them tell their record again.

--- a/core/fleet/evidence.go
+++ b/core/fleet/evidence.go
@@ -15,13 +15,12 @@
 func (v *View) SetEvidence(list []*wire.CallEvidence) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if isAsBefore(v.evidence, list) {
+	self := v.selfLocked()
+	if isAsBefore(self.evidence, list) {
 		return
 	}
-	v.evidence = list
-	v.evidenceIndex++
-	self := v.nodes[v.selfName()]
 	self.evidence = list
+	v.evidenceIndex++
 	v.addEvidenceLocked()
 }
 
@@ -81,7 +80,7 @@
 }
 
 func (v *View) setEdgesLocked(edges []*wire.CallEdge) {
-	if slices.EqualFunc(v.edges, edges, isSameEdge) {
+	if IsSameGraph(v.edges, edges) {
 		return
 	}
 	v.index++
@@ -89,8 +88,11 @@
 	v.edges, v.edgesIndex = edges, v.index
 }
 
-func isSameEdge(a, b *wire.CallEdge) bool {
-	return a.GetRoute() == b.GetRoute() && a.GetChild() == b.GetChild()
+// IsSameGraph reports whether two call graphs in a fixed order are the same.
+func IsSameGraph(a, b []*wire.CallEdge) bool {
+	return slices.EqualFunc(a, b, func(a, b *wire.CallEdge) bool {
+		return a.GetRoute() == b.GetRoute() && a.GetChild() == b.GetChild()
+	})
 }
 
 // Edges returns the call graph.
--- a/core/fleet/exchange.go
+++ b/core/fleet/exchange.go
@@ -60,16 +60,16 @@
 
 // Ask builds the request for a node; needs are the services that this node calls. A relay
 // brings the news of its failure domain to the relays of others; every other node brings
-// its own record only.
-func (v *View) Ask(name world.NodeID, needs []world.ServiceID) (req *wire.ExchangeRequest, index uint64) {
+// its own record only. A node is asked again only once it has answered or failed to.
+func (v *View) Ask(name world.NodeID, needs []world.ServiceID) *wire.ExchangeRequest {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	req = &wire.ExchangeRequest{Node: v.self.GetNode(), Incarnation: v.self.GetIncarnation(), Sequence: v.self.GetSequence()}
+	req := &wire.ExchangeRequest{Node: v.self.GetNode(), Incarnation: v.self.GetIncarnation(), Sequence: v.self.GetSequence()}
 	m := v.nodes[name]
 	if m == nil {
-		return req, 0
+		return req
 	}
-	m.asked = v.clock.Now()
+	m.asked, m.askedIndex = v.clock.Now(), v.index
 	req.Since, req.SinceIncarnation = m.since, m.sinceIncarnation
 	isFar := m.record.GetDomain() != v.self.GetDomain()
 	for _, r := range v.changedLocked(m.sent, name) {
@@ -79,12 +79,12 @@
 	}
 	if isFar {
 		req.Misses = v.missesLocked(m.record.GetDomain())
-		return req, v.index
+		return req
 	}
 	req.Pulse = v.pulse
-	m.evidenceAsked = v.evidenceIndex
+	m.askedEvidence = v.evidenceIndex
 	if m.evidenceSent < v.evidenceIndex {
-		req.Evidence, req.HasEvidence = v.evidence, true
+		req.Evidence, req.HasEvidence = v.selfLocked().evidence, true
 	}
 	req.Needs = append(req.Needs, v.self.GetService())
 	for _, service := range needs {
@@ -92,18 +92,17 @@
 			req.Needs = append(req.Needs, string(service))
 		}
 	}
-	return req, v.index
+	return req
 }
 
-// Answered takes in the answer of a node to a request that held news up to an index. It
-// reports whether a record was news.
-func (v *View) Answered(name world.NodeID, req *wire.ExchangeRequest, reply *wire.ExchangeReply, index uint64) bool {
-	isNews := v.Take(reply.GetRecords())
+// Answered takes in the answer of a node to the last request to it.
+func (v *View) Answered(name world.NodeID, req *wire.ExchangeRequest, reply *wire.ExchangeReply) {
+	v.Take(reply.GetRecords())
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	m := v.nodes[name]
 	if m == nil {
-		return isNews
+		return
 	}
 	isOther := m.sinceIncarnation != 0 && m.sinceIncarnation != reply.GetIncarnation()
 	m.failed = 0
@@ -111,19 +110,19 @@
 	if isOther || reply.GetLacksSender() {
 		m.sent, m.evidenceSent = 0, 0
 	} else {
-		m.sent = max(m.sent, index)
-		m.evidenceSent = m.evidenceAsked
-	}
-	if reply.GetHasEdges() && m.record.GetDomain() == v.self.GetDomain() {
-		v.setEdgesLocked(reply.GetEdges())
+		m.sent = max(m.sent, m.askedIndex)
+		m.evidenceSent = m.askedEvidence
 	}
 	if !v.takeReportsLocked(reply.GetReports(), req.GetNeeds(), m.asked) {
 		v.resyncLocked(m)
 	}
-	if m.record.GetDomain() == v.self.GetDomain() {
-		v.takeSumsLocked(reply)
+	if m.record.GetDomain() != v.self.GetDomain() {
+		return
+	}
+	v.takeSumsLocked(reply)
+	if reply.GetHasEdges() {
+		v.setEdgesLocked(reply.GetEdges())
 	}
-	return isNews
 }
 
 // resyncLocked makes the next request to a node ask for all records.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -13,9 +13,9 @@
 //	v.SetSelf(func(r *wire.FleetRecord) { r.Limit = 3 })
 //	v.SetPulse(pulse)
 //	for _, name := range v.Targets() { // whom to ask next
-//		req, index := v.Ask(name, needs)
+//		req := v.Ask(name, needs)
 //		reply := ...               // v.Answer(req) at the node that is asked
-//		v.Answered(name, req, reply, index)
+//		v.Answered(name, req, reply)
 //	}
 //	nodes, sums := v.Nodes(), v.Sums()
 //
@@ -87,8 +87,7 @@
 	summed time.Duration
 	// turn is where the next list of loads begins.
 	turn int
-	// evidence is what this node tells of the call graph, evidenceIndex counts its changes.
-	evidence      []*wire.CallEvidence
+	// evidenceIndex counts changes of what this node tells of the call graph.
 	evidenceIndex uint64
 	// edges are the call graph, edgesIndex is the view's index of their last change.
 	edges      []*wire.CallEdge
@@ -108,10 +107,10 @@
 	pulsed time.Duration
 	// counted is the pulse that this node's own report holds, nil if it holds none.
 	counted *wire.Pulse
-	// evidence is what the node tells of the call graph, the others what this node has told it,
-	// by the request under way and before it.
-	evidence                    []*wire.CallEvidence
-	evidenceAsked, evidenceSent uint64
+	// evidence is what the node tells of the call graph, evidenceSent up to where this node has
+	// told it the own.
+	evidence     []*wire.CallEvidence
+	evidenceSent uint64
 	// wasSilent is the silence that the view's version counts.
 	wasSilent bool
 	// listed means that the platform lists the node.
@@ -123,8 +122,10 @@
 	sinceIncarnation uint64
 	// sent is the own index up to which the node has this node's news.
 	sent uint64
-	// asked is when the request under way to the node was made.
-	asked time.Duration
+	// asked is when the last request to the node was made; askedIndex and askedEvidence are up
+	// to where it brought records and evidence.
+	asked                     time.Duration
+	askedIndex, askedEvidence uint64
 	// resynced is when the node was last asked for all records, 0 if it was not.
 	resynced time.Duration
 }
@@ -142,6 +143,8 @@
 
 func (v *View) selfName() world.NodeID { return world.NodeID(v.self.GetNode()) }
 
+func (v *View) selfLocked() *member { return v.nodes[v.selfName()] }
+
 func (v *View) bumpSelf() {
 	v.self.Sequence++
 	v.keepLocked(proto.Clone(v.self).(*wire.FleetRecord))
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -76,7 +76,7 @@
 	clock.Run(10 * period)
 	c.Assert(v.IsRelay(), qt.IsTrue)
 	c.Assert(v.Targets(), qt.DeepEquals, []world.NodeID{"a", "x"})
-	v.Answered("a", &wire.ExchangeRequest{}, &wire.ExchangeReply{}, 0)
+	v.Answered("a", &wire.ExchangeRequest{}, &wire.ExchangeReply{})
 	c.Assert(v.IsRelay(), qt.IsFalse)
 	c.Assert(v.Targets(), qt.DeepEquals, []world.NodeID{"a"})
 }
@@ -122,12 +122,12 @@
 			for _, name := range names {
 				views[name].SetSelf(func(*wire.FleetRecord) {})
 				for _, to := range views[name].Targets() {
-					req, index := views[name].Ask(to, nil)
+					req := views[name].Ask(to, nil)
 					if rapid.IntRange(0, 99).Draw(t, "loss") < lossOf100 {
 						views[name].Failed(to)
 						continue
 					}
-					views[name].Answered(to, req, views[to].Answer(req), index)
+					views[name].Answered(to, req, views[to].Answer(req))
 				}
 			}
 		}
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -30,7 +30,10 @@
 			targets = append(targets, due)
 		}
 	}
-	if missing := v.missingLocked(); isRelay && missing != "" && !slices.Contains(targets, missing) {
+	if !isRelay {
+		return targets
+	}
+	if missing := v.missingLocked(); missing != "" && !slices.Contains(targets, missing) {
 		targets = append(targets, missing)
 	}
 	return targets
--- a/core/fleet/report_test.go
+++ b/core/fleet/report_test.go
@@ -99,7 +99,7 @@
 		v.Failed(to)
 		return
 	}
-	req, index := v.Ask(to, needed)
+	req := v.Ask(to, needed)
 	reply := target.Answer(req)
 	for _, n := range []world.NodeID{name, to} {
 		c := d.cost[n]
@@ -107,7 +107,7 @@
 		c.bytes += proto.Size(req) + proto.Size(reply)
 		c.records += len(req.GetRecords()) + len(reply.GetRecords())
 	}
-	v.Answered(to, req, reply, index)
+	v.Answered(to, req, reply)
 }
 
 // expectWhole expects that each node that lives hears all others that do, knows their records,
@@ -265,12 +265,12 @@
 func (d *deployment) askSlowly(name, to world.NodeID, way time.Duration) {
 	v, target := d.views[name], d.views[to]
 	from, at := v.Self().GetDomain(), target.Self().GetDomain()
-	req, index := v.Ask(to, needed)
+	req := v.Ask(to, needed)
 	if d.isCut[[2]string{from, at}] || d.isCut[[2]string{at, from}] {
 		return
 	}
 	reply := target.Answer(req)
-	d.clock.After(way, func() { v.Answered(to, req, reply, index) })
+	d.clock.After(way, func() { v.Answered(to, req, reply) })
 }
 
 // Bounds of the exchange for a node that is not a relay: four exchanges a second, and 3 KB a
@@ -321,9 +321,9 @@
 		d.exchange()
 	}
 	told := func() bool {
-		req, index := d.views["n0001"].Ask("n0000", nil)
+		req := d.views["n0001"].Ask("n0000", nil)
 		reply := d.views["n0000"].Answer(req)
-		d.views["n0001"].Answered("n0000", req, reply, index)
+		d.views["n0001"].Answered("n0000", req, reply)
 		return reply.GetReports()[0].GetHasEvidence()
 	}
 	told()
--- a/core/fleet/sums.go
+++ b/core/fleet/sums.go
@@ -112,16 +112,17 @@
 			Service: string(service), Slots: float32(sum.Slots), Load: float32(sum.Load), Levels: float32(sum.Levels), Arrivals: float32(sum.Arrivals),
 		}
 		if needs == nil || service == own {
-			w.Needs, w.Asked, w.LetIn = floats(sum.Needs), floats(sum.Asked), floats(sum.LetIn)
+			w.Needs, w.Asked, w.LetIn = Floats(sum.Needs), Floats(sum.Asked), Floats(sum.LetIn)
 		} else {
-			w.Needs = floats([]float64{total(sum.Needs)})
+			w.Needs = Floats([]float64{Total(sum.Needs)})
 		}
 		list = append(list, w)
 	}
 	return list
 }
 
-func total(list []float64) float64 {
+// Total adds up a list by grade.
+func Total(list []float64) float64 {
 	sum := 0.0
 	for _, x := range list {
 		sum += x
@@ -129,7 +130,8 @@
 	return sum
 }
 
-func floats(list []float64) []float32 {
+// Floats shortens a list by grade for a message.
+func Floats(list []float64) []float32 {
 	short := make([]float32, 0, len(list))
 	for _, x := range list {
 		short = append(short, float32(x))
@@ -194,7 +196,7 @@
 func (v *View) Sums() Sums {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.othersLocked(v.nodes[v.selfName()])
+	return v.othersLocked(v.selfLocked())
 }
 
 // Loads returns the calls at the endpoints of the own failure domain that were told last, by node.
--- a/core/mesh/keep.go
+++ b/core/mesh/keep.go
@@ -1,67 +1,44 @@
 package mesh
 
 import (
-	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/once"
-	"wagtailyoke/core/store"
 )
 
-// quarantineName is the name of the object that holds the requests that ended upstreams. It
-// lies among the entries of the nodes, so that the same watch brings both.
+// quarantineName is the name of the object that holds the requests that ended upstreams.
 const quarantineName = "quarantine"
 
-const (
-	// relayDelay is how long relays leave it to the node whose upstream ended to write.
-	relayDelay = time.Second
-	// keepRetry is the time between tries to write.
-	keepRetry = time.Second
-)
+// relayDelay is how long relays leave it to the node whose upstream ended to write.
+const relayDelay = time.Second
 
 // keeper keeps what is known of requests that ended upstreams in the platform's store, so that
 // it outlives all nodes and passes where the nodes do not reach each other.
 type keeper struct {
-	n *Node
+	common[[]once.Kept]
 
-	mu sync.Mutex
-	// revision is of the object as it was last seen, 0 if there is none, held what is in it.
-	revision uint64
-	held     []once.Kept
 	// logged are the bans in force that stand in the log.
 	logged map[uint64]bool
 	// since is when something was first seen to be missing in the store, 0 if nothing is.
-	since   time.Duration
-	retryAt time.Duration
-	writing bool
+	since time.Duration
 	// isFinder means that the upstream of this node has ended since the store held all.
 	isFinder bool
 }
 
-func newKeeper(n *Node) *keeper { return &keeper{n: n, logged: map[uint64]bool{}} }
+func newKeeper(n *Node) *keeper {
+	return &keeper{
+		common: common[[]once.Kept]{n: n, name: quarantineName, encode: once.EncodeKept, decode: once.DecodeKept},
+		logged: map[uint64]bool{},
+	}
+}
 
 // take takes in the object as the store holds it. One that is malformed is written anew.
 func (k *keeper) take(o Object) {
-	var held []once.Kept
-	if !o.IsDeleted {
-		var err error
-		if held, err = once.DecodeKept(o.Value); err != nil {
-			k.n.Events.Log(event.EntryRejected, event.Field{Name: "error", Value: errors.Wrapf(err, "object %q", o.Name).Error()})
-		}
-	}
-	k.mu.Lock()
-	if o.Revision < k.revision {
-		k.mu.Unlock()
+	held, isNewest := k.read(o)
+	if !isNewest {
 		return
 	}
-	k.revision, k.held = o.Revision, held
-	if o.IsDeleted {
-		k.revision = 0
-	}
-	k.mu.Unlock()
 	if k.n.quarantine.Restore(held, k.n.Clock.Wall()) {
 		k.n.noteBans(heldBefore)
 		k.n.exchangeSoon()
@@ -90,43 +67,18 @@
 		k.since = now
 	}
 	mayWrite := k.isFinder || k.n.view.IsRelay() && now-k.since >= relayDelay
-	if !mayWrite || k.writing || now < k.retryAt {
+	if !mayWrite || !k.mayWriteLocked() {
 		return
 	}
 	k.writing = true
-	k.n.Clock.After(0, k.write)
+	k.n.Clock.After(0, func() { k.write(k.n.quarantine.Keep(k.n.Clock.Wall()), k.wasWritten) })
 }
 
-func (k *keeper) write() {
-	held := k.n.quarantine.Keep(k.n.Clock.Wall())
-	value, err := once.EncodeKept(held)
-	if err != nil {
-		k.wrote(nil, Object{}, err)
-		return
-	}
-	k.mu.Lock()
-	revision := k.revision
-	k.mu.Unlock()
-	k.n.Objects.Put(KindNode, quarantineName, revision, value, func(o Object, err error) { k.wrote(held, o, err) })
-}
-
-func (k *keeper) wrote(held []once.Kept, o Object, err error) {
-	// Others have written meanwhile: what they know counts too.
-	isOutdone := errors.Is(err, store.ErrConflict) && o.Revision > 0
-	k.mu.Lock()
-	k.writing = false
-	switch {
-	case err == nil && o.Revision >= k.revision:
-		k.revision, k.held = o.Revision, held
-	case errors.Is(err, store.ErrNotFound):
-		k.revision = 0
-	case err != nil && !isOutdone:
-		k.retryAt = k.n.Clock.Now() + keepRetry
-	}
-	k.mu.Unlock()
+func (k *keeper) wasWritten(outdone *Object, err error) {
 	switch {
-	case isOutdone:
-		k.take(o)
+	case outdone != nil:
+		// Others have written meanwhile: what they know counts too.
+		k.take(*outdone)
 		k.keep()
 	case err != nil:
 		k.n.Events.Log(event.QuarantineNotKept, event.Field{Name: "error", Value: err.Error()})
--- a/core/mesh/levels.go
+++ b/core/mesh/levels.go
@@ -145,10 +145,7 @@
 	if t == nil {
 		return
 	}
-	var edges []graph.Edge
-	for _, e := range n.view.Edges() {
-		edges = append(edges, graph.Edge{Route: world.RouteID(e.GetRoute()), Child: world.RouteID(e.GetChild())})
-	}
+	edges := graphEdges(n.view.Edges())
 	n.graph.SetKnown(edges)
 	n.pressures.setGraph(t.Table, edges)
 }
@@ -169,10 +166,9 @@
 		runs[w.GetRoute()] = max(runs[w.GetRoute()], e.Runs)
 	}
 	edges := graph.Decide(list)
-	for _, e := range n.recall.edges() {
-		kept := graph.Edge{Route: world.RouteID(e.GetRoute()), Child: world.RouteID(e.GetChild())}
+	for _, kept := range graphEdges(n.recall.edges()) {
 		isDecided := slices.ContainsFunc(edges, func(other graph.Edge) bool { return isSameCall(kept, other) })
-		if !isDecided && runs[e.GetRoute()] < recallRuns {
+		if !isDecided && runs[string(kept.Route)] < recallRuns {
 			edges = append(edges, kept)
 		}
 	}
@@ -225,10 +221,10 @@
 // useOf is the part of a service's slots that the calls need.
 func (n *Node) useOf(service world.ServiceID) float64 {
 	sum := n.pressures.of(service)
-	need, slots := total(sum.Needs), sum.Slots
+	need, slots := fleet.Total(sum.Needs), sum.Slots
 	if service == n.callerService() {
 		_, _, limit := n.line.Counts()
-		need, slots = need+total(n.line.Needs()), slots+float64(limit)
+		need, slots = need+fleet.Total(n.line.Needs()), slots+float64(limit)
 	}
 	if slots == 0 {
 		return 0
@@ -236,14 +232,6 @@
 	return need / slots
 }
 
-func total(needs []float64) float64 {
-	sum := 0.0
-	for _, need := range needs {
-		sum += need
-	}
-	return sum
-}
-
 // heedOffers takes in what other entries were asked for that reaches the own service, and
 // what this one was.
 func (n *Node) heedOffers(others fleet.Sum) {
@@ -271,12 +259,12 @@
 	return sum
 }
 
-func wireNeeds(needs []float64) []float32 {
-	list := make([]float32, 0, len(needs))
-	for _, need := range needs {
-		list = append(list, float32(need))
+func graphEdges(list []*wire.CallEdge) []graph.Edge {
+	edges := make([]graph.Edge, 0, len(list))
+	for _, e := range list {
+		edges = append(edges, graph.Edge{Route: world.RouteID(e.GetRoute()), Child: world.RouteID(e.GetChild())})
 	}
-	return list
+	return edges
 }
 
 func wireEdges(edges []graph.Edge) []*wire.CallEdge {
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -14,7 +14,8 @@
 // to the node of the chosen endpoint, where a run waits for the upstream (run.go). The
 // upstream's heartbeats are in upstream.go, requests under which upstreams end in crash.go,
 // suspect.go and keep.go, the exchange with other nodes in spread.go,
-// the platform's objects in follow.go and announce.go.
+// the platform's objects in follow.go and announce.go, those of all nodes in common.go, keep.go
+// and recall.go.
 //
 // The package holds no socket and no clock: a process gives it real ones, a test virtual
 // ones.
@@ -245,7 +246,7 @@
 		splitter:     table.NewSplitter(),
 		quarantine:   once.NewQuarantine(d.Clock, quarantineLimits),
 	}
-	n.keeper, n.recall = newKeeper(n), &recall{n: n}
+	n.keeper, n.recall = newKeeper(n), newRecall(n)
 	self := &wire.FleetRecord{
 		Node:        string(d.Info.Name),
 		Domain:      string(d.Info.Domain),
--- a/core/mesh/needs.go
+++ b/core/mesh/needs.go
@@ -19,16 +19,14 @@
 	last map[world.ServiceID]time.Duration
 }
 
-// note takes in that services are needed now.
-func (s *needs) note(now time.Duration, services ...world.ServiceID) {
+// note takes in that a service is needed now.
+func (s *needs) note(now time.Duration, service world.ServiceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.last == nil {
 		s.last = map[world.ServiceID]time.Duration{}
 	}
-	for _, service := range services {
-		s.last[service] = now
-	}
+	s.last[service] = now
 }
 
 // list returns the services that are needed.
--- a/core/mesh/recall.go
+++ b/core/mesh/recall.go
@@ -2,19 +2,17 @@
 
 import (
 	"encoding/json"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"wagtailyoke/core/event"
-	"wagtailyoke/core/store"
+	"wagtailyoke/core/fleet"
 	"wagtailyoke/core/wire"
 )
 
-// graphName is the name of the object that holds the call graph. It lies among the entries of the
-// nodes, so that a node that starts reads it with them.
+// graphName is the name of the object that holds the call graph. A node that starts reads it with the
+// entries.
 const graphName = "graph"
 
 const (
@@ -30,17 +28,15 @@
 // until the graph is learned again, entries do not know which services their requests reach, and
 // the services take calls of requests that were not counted for the need of others.
 type recall struct {
-	n *Node
+	common[[]*wire.CallEdge]
 
-	mu sync.Mutex
-	// revision is of the object as it was last seen, 0 if there is none, held what is in it.
-	revision uint64
-	held     []*wire.CallEdge
 	// seen is the graph at the last look, since when it is the same.
-	seen    []*wire.CallEdge
-	since   time.Duration
-	dueAt   time.Duration
-	writing bool
+	seen  []*wire.CallEdge
+	since time.Duration
+}
+
+func newRecall(n *Node) *recall {
+	return &recall{common: common[[]*wire.CallEdge]{n: n, name: graphName, encode: EncodeGraph, decode: DecodeGraph}}
 }
 
 // keptEdge is a call of the graph as the store holds it.
@@ -84,23 +80,10 @@
 
 // take takes in the object as the store holds it. One that is malformed is written anew.
 func (r *recall) take(o Object) {
-	var held []*wire.CallEdge
-	if !o.IsDeleted {
-		var err error
-		if held, err = DecodeGraph(o.Value); err != nil {
-			r.n.Events.Log(event.EntryRejected, event.Field{Name: "error", Value: errors.Wrapf(err, "object %q", o.Name).Error()})
-		}
-	}
-	r.mu.Lock()
-	if o.Revision < r.revision {
-		r.mu.Unlock()
+	held, isNewest := r.read(o)
+	if !isNewest {
 		return
 	}
-	r.revision, r.held = o.Revision, held
-	if o.IsDeleted {
-		r.revision = 0
-	}
-	r.mu.Unlock()
 	if len(r.n.view.Edges()) == 0 {
 		r.n.view.SetEdges(held)
 	}
@@ -118,46 +101,22 @@
 	edges, now := r.n.view.Edges(), r.n.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !slices.EqualFunc(edges, r.seen, isSameEdge) {
+	if !fleet.IsSameGraph(edges, r.seen) {
 		r.seen, r.since = edges, now
 	}
 	isSettled := len(edges) > 0 && now-r.since >= graphStable
-	if !isSettled || r.writing || now < r.dueAt || slices.EqualFunc(edges, r.held, isSameEdge) || !r.n.view.IsFirst() {
+	if !isSettled || !r.mayWriteLocked() || fleet.IsSameGraph(edges, r.held) || !r.n.view.IsFirst() {
 		return
 	}
 	r.writing, r.dueAt = true, now+graphPause
-	revision := r.revision
-	r.n.Clock.After(0, func() { r.write(edges, revision) })
-}
-
-func isSameEdge(a, b *wire.CallEdge) bool {
-	return a.GetRoute() == b.GetRoute() && a.GetChild() == b.GetChild()
+	r.n.Clock.After(0, func() { r.write(edges, r.wasWritten) })
 }
 
-func (r *recall) write(edges []*wire.CallEdge, revision uint64) {
-	value, err := EncodeGraph(edges)
-	if err != nil {
-		r.wrote(edges, Object{}, err)
-		return
-	}
-	r.n.Objects.Put(KindNode, graphName, revision, value, func(o Object, err error) { r.wrote(edges, o, err) })
-}
-
-func (r *recall) wrote(edges []*wire.CallEdge, o Object, err error) {
-	r.mu.Lock()
-	r.writing = false
+func (r *recall) wasWritten(outdone *Object, err error) {
 	switch {
-	case err == nil && o.Revision >= r.revision:
-		r.revision, r.held = o.Revision, edges
-	case errors.Is(err, store.ErrNotFound):
-		r.revision = 0
-	}
-	r.mu.Unlock()
-	if errors.Is(err, store.ErrConflict) && o.Revision > 0 {
-		r.take(o)
-		return
-	}
-	if err != nil {
+	case outdone != nil:
+		r.take(*outdone)
+	case err != nil:
 		r.n.Events.Log(event.GraphNotKept, event.Field{Name: "error", Value: err.Error()})
 	}
 }
--- a/core/mesh/spread.go
+++ b/core/mesh/spread.go
@@ -70,7 +70,7 @@
 	isStopping, isLeaving := n.isStopping()
 	n.offers.Turn()
 	pulse := &wire.Pulse{
-		Load: uint32(running + waiting), Level: float32(n.line.Level()), Needs: wireNeeds(n.line.Needs()),
+		Load: uint32(running + waiting), Level: float32(n.line.Level()), Needs: fleet.Floats(n.line.Needs()),
 		Arrivals: float32(n.line.Rate()), Offers: n.wireOffers(),
 	}
 	n.view.SetSelf(func(r *wire.FleetRecord) {
@@ -119,7 +119,7 @@
 	s.asking[name] = true
 	known := s.told[name]
 	s.mu.Unlock()
-	req, index := n.view.Ask(name, n.needs.list(n.Clock.Now()))
+	req := n.view.Ask(name, n.needs.list(n.Clock.Now()))
 	req.TableVersion, req.TableAgeMs = uint64(n.tableVersion()), n.tableAge().Milliseconds()
 	req.QuarantineSince, req.QuarantineIncarnation = known.got, known.incarnation
 	req.Quarantines, known.sent = n.quarantine.Export(known.sent)
@@ -128,11 +128,11 @@
 		if err == nil {
 			n.noteTold(name, known, reply)
 		}
-		n.exchanged(name, address, req, index, sent, reply, err)
+		n.exchanged(name, address, req, sent, reply, err)
 	})
 }
 
-func (n *Node) exchanged(name world.NodeID, address world.Address, req *wire.ExchangeRequest, index uint64, sent time.Duration, reply *wire.ExchangeReply, err error) {
+func (n *Node) exchanged(name world.NodeID, address world.Address, req *wire.ExchangeRequest, sent time.Duration, reply *wire.ExchangeReply, err error) {
 	s := &n.news
 	s.mu.Lock()
 	delete(s.asking, name)
@@ -144,7 +144,7 @@
 		n.Events.Log(event.PeerSilent, event.Field{Name: "peer", Value: name}, event.Field{Name: "error", Value: err.Error()})
 		return
 	}
-	n.view.Answered(name, req, reply, index)
+	n.view.Answered(name, req, reply)
 	n.useRecords()
 	n.noteVersion(address, world.ConfigVersion(reply.GetTableVersion()))
 	if world.ConfigVersion(reply.GetTableVersion()) == n.tableVersion() {
