Log and measure what upstreams say of themselves in their answers

Answers are read for the limit and for a leave (platform), kept at the upstream's node (admit.RateGate) and shown by the events 118 to 120 and two gauges. Nothing is decided by them yet.

Nobody uses the limit; no node applies it alone.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -25,6 +25,9 @@
 	RequestsBanned      Number = 115
 	UpstreamCold        Number = 116
 	UpstreamWarm        Number = 117
+	UpstreamLimited     Number = 118
+	UpstreamUnlimited   Number = 119
+	UpstreamSaysLeaving Number = 120
 	ConfigInstalled     Number = 200
 	ConfigRejected      Number = 201
 	EvacuationsChanged  Number = 202
@@ -70,6 +73,9 @@
 	RequestsBanned:      "requests that upstreams died under are refused from now on",
 	UpstreamCold:        "upstream is cold, or may be; it receives few calls",
 	UpstreamWarm:        "upstream is warm; it receives its share of the calls",
+	UpstreamLimited:     "upstream limits the calls that it takes",
+	UpstreamUnlimited:   "upstream no longer limits the calls that it takes",
+	UpstreamSaysLeaving: "upstream says in an answer that it leaves",
 	EvacuationsChanged:  "the set of evacuated failure domains has changed",
 	ConfigInstalled:     "configuration installed",
 	ConfigRejected:      "configuration object is malformed and was not installed",
--- a/core/mesh/exchange.go
+++ b/core/mesh/exchange.go
@@ -45,6 +45,7 @@
 	n.quarantineStore.persistIfMissing()
 	n.graphStore.persistIfSettled()
 	n.logLevel()
+	n.updateCallRate()
 	n.reportStats()
 }
 
@@ -52,6 +53,8 @@
 	stats := Stats{Level: n.serviceLevel(n.callerService()), TableVersion: n.tableVersion(), TableAge: n.tableAge()}
 	stats.Running, stats.Waiting, stats.Limit = n.queue.Counts()
 	stats.IsCold, stats.Evacuated = n.coldGate.IsCold(), n.evacuations.count()
+	stats.CallLimit, _ = n.rateGate.Limit()
+	stats.CallRate = n.callMeter.callRate()
 	stats.Suspects, stats.Banned = n.quarantine.Counts()
 	for _, node := range n.view.Nodes() {
 		stats.Nodes++
--- a/core/mesh/execution.go
+++ b/core/mesh/execution.go
@@ -106,6 +106,7 @@
 	e.stopDeadline = n.Clock.After(remaining, e.expire)
 	e.mu.Unlock()
 	n.Metrics.ObserveDuration(PhaseQueue, e.call.Route, e.startedAt-e.arrivedAt)
+	n.callMeter.countCall()
 	n.callMatcher.executionStarted(e)
 	n.crashDetector.executionStarted(e)
 	cancel := n.Upstream.Do(e.call, instance, func(reply *world.Reply, err error) { e.handleAnswer(instance, reply, err) })
@@ -136,6 +137,9 @@
 	if reply.Code == world.CodeStaleInstance {
 		e.n.upstreamTracker.markReplaced(instance)
 	}
+	if reply.Notice != nil {
+		e.n.handleNotice(instance, *reply.Notice, e)
+	}
 	if reply.Code == world.CodeUpstreamShed {
 		e.n.queue.CountShed()
 	}
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -121,6 +121,9 @@
 	// domains.
 	IsCold    bool
 	Evacuated int
+	// CallLimit is the number of calls per second that the upstream says it takes from all nodes together,
+	// 0 if it names no limit. CallRate is the number that it received in the last second.
+	CallLimit, CallRate float64
 	// Suspects is the number of requests that were in flight when upstreams ended, Banned the
 	// number of those that are refused for it.
 	Suspects, Banned int
@@ -204,6 +207,8 @@
 	picker        *place.Picker
 	queue         *admit.WaitQueue
 	coldGate      *admit.ColdGate
+	rateGate      *admit.RateGate
+	callMeter     callMeter
 	healthChecker *healthChecker
 	evacuations   *evacuations
 	// isColdAnnounced means that other nodes were told that the upstream is cold.
@@ -274,6 +279,7 @@
 	n := &Node{
 		Dependencies:     d,
 		coldGate:         gate,
+		rateGate:         admit.NewRateGate(d.Clock),
 		evacuations:      newEvacuations(),
 		picker:           place.New(d.Clock, rand.New(rand.NewSource(d.Random.Int63())), d.Info.Domain, d.Info.Name),
 		queue:            admit.NewWaitQueue(d.Clock, 1, admit.WaitQueueOptions{Gate: gate}),
--- /dev/null
+++ b/core/mesh/notice.go
@@ -0,0 +1,81 @@
+package mesh
+
+import (
+	"sync"
+	"time"
+
+	"wagtailyoke/core/event"
+	"wagtailyoke/core/world"
+)
+
+// callRateInterval is the time over which the rate of calls to the upstream is measured.
+const callRateInterval = time.Second
+
+// callMeter measures the rate of calls to the upstream.
+type callMeter struct {
+	mu    sync.Mutex
+	count int
+	since time.Duration
+	// rate is in calls per second, over the last whole interval.
+	rate float64
+}
+
+func (m *callMeter) countCall() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.count++
+}
+
+func (m *callMeter) callRate() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rate
+}
+
+// update reports whether an interval has ended.
+func (m *callMeter) update(now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	elapsed := now - m.since
+	if elapsed < callRateInterval {
+		return false
+	}
+	m.rate = float64(m.count) / elapsed.Seconds()
+	m.count, m.since = 0, now
+	return true
+}
+
+// updateCallRate measures the rate of calls to the upstream, and logs it while the upstream names a limit.
+func (n *Node) updateCallRate() {
+	if !n.callMeter.update(n.Clock.Now()) {
+		return
+	}
+	if limit, ok := n.rateGate.Limit(); ok {
+		n.logCallLimit(limit)
+	}
+}
+
+func (n *Node) logCallLimit(limit float64) {
+	instance, _ := n.upstreamTracker.currentInstance()
+	n.Events.Log(event.UpstreamLimited, event.Field{Name: "instance", Value: instance},
+		event.Field{Name: "limit", Value: limit}, event.Field{Name: "callsPerSecond", Value: n.callMeter.callRate()})
+}
+
+// handleNotice records what the upstream says about itself in the answer to an execution.
+func (n *Node) handleNotice(instance world.InstanceID, notice world.UpstreamNotice, e *execution) {
+	if current, _ := n.upstreamTracker.currentInstance(); current != instance {
+		return
+	}
+	if notice.IsLeaving {
+		n.Events.Log(event.UpstreamSaysLeaving, event.Field{Name: "instance", Value: instance})
+	}
+	if notice.HasCallLimit {
+		if n.rateGate.SetLimit(notice.CallLimit) {
+			n.logCallLimit(notice.CallLimit)
+		}
+		return
+	}
+	if n.rateGate.Lift(e.startedAt) {
+		n.Events.Log(event.UpstreamUnlimited, event.Field{Name: "instance", Value: instance})
+	}
+}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -199,10 +199,22 @@
 // HasKey reports whether the call is protected by an idempotency record.
 func (c *Call) HasKey() bool { return !c.Idempotent && c.Key != "" }
 
+// UpstreamNotice is what an upstream's answer says about the upstream itself.
+type UpstreamNotice struct {
+	// HasCallLimit means that the upstream takes no more than CallLimit calls per second from all nodes
+	// together, for as long as its answers say so.
+	HasCallLimit bool
+	CallLimit    float64
+	// IsLeaving means that the upstream will end and takes no new calls.
+	IsLeaving bool
+}
+
 // Reply is the response to a call, or a refusal if Code is set.
 type Reply struct {
 	Status int
 	Header http.Header
+	// Notice is nil if no upstream made the answer, or another one than the call was for.
+	Notice *UpstreamNotice
 	Body   []byte
 	// Rest is the remainder of the body after Body, if the body was not read completely.
 	// The receiver of the reply closes it.
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -45,6 +45,8 @@
 	GaugeNodes        = "nodes"
 	GaugeSilent       = "nodes_silent"
 	GaugeCold         = "upstream_cold"
+	GaugeCallLimit    = "upstream_call_limit"
+	GaugeCallRate     = "upstream_call_rate"
 	GaugeEvacuated    = "domains_evacuated"
 	GaugeSuspects     = "requests_suspected"
 	GaugeBanned       = "requests_banned"
@@ -158,7 +160,7 @@
 		GaugeRunning: float64(s.Running), GaugeWaiting: float64(s.Waiting), GaugeLimit: float64(s.Limit),
 		GaugeLevel: s.Level, GaugeTableVersion: float64(s.TableVersion), GaugeTableAge: s.TableAge.Seconds(),
 		GaugeNodes: float64(s.Nodes), GaugeSilent: float64(s.Unreachable),
-		GaugeCold: boolValue(s.IsCold), GaugeEvacuated: float64(s.Evacuated),
+		GaugeCold: boolValue(s.IsCold), GaugeCallLimit: s.CallLimit, GaugeCallRate: s.CallRate, GaugeEvacuated: float64(s.Evacuated),
 		GaugeSuspects: float64(s.Suspects), GaugeBanned: float64(s.Banned),
 	} {
 		m.gauge(name).Update(value)
@@ -210,7 +212,7 @@
 	var names []string
 	for _, name := range []string{
 		CounterAdmitted, CounterServed, CounterRefused, CounterRetried, CounterCrashed, CounterViolations, HistogramTook,
-		GaugeRunning, GaugeWaiting, GaugeLimit, GaugeLevel, GaugeTableVersion, GaugeTableAge, GaugeNodes, GaugeSilent, GaugeCold, GaugeEvacuated, GaugeSuspects, GaugeBanned,
+		GaugeRunning, GaugeWaiting, GaugeLimit, GaugeLevel, GaugeTableVersion, GaugeTableAge, GaugeNodes, GaugeSilent, GaugeCold, GaugeCallLimit, GaugeCallRate, GaugeEvacuated, GaugeSuspects, GaugeBanned,
 	} {
 		names = append(names, prefix+prometheus.DefaultSeparator+name)
 	}
