--- /dev/null
+++ b/core/mesh/notice_test.go
@@ -0,0 +1,208 @@
+package mesh_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wagtailyoke/core/table"
+	"wagtailyoke/core/world"
+)
+
+// The rules for what upstreams say of themselves.
+const (
+	// limitBindsAfter is the time from the first answer with a limit until it binds.
+	limitBindsAfter = 3 * time.Second
+	// limitWindow is the time over which calls are counted. They may be limitOverage times the calls that
+	// the limit allows, plus limitSlack.
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+	// toldBefore is how long before a call its entry node must have passed on a limit to be counted.
+	toldBefore = 500 * time.Millisecond
+	// leaveBindsAfter is the time from an answer that was passed on to the last call to a leaving upstream.
+	leaveBindsAfter = 2 * time.Second
+)
+
+// headerFrom names the upstream that made an answer.
+const headerFrom = "From"
+
+// simEntry is where and when a call entered.
+type simEntry struct {
+	vm   *vm
+	life int
+	at   time.Duration
+}
+
+// limitChange is a change of the limit that an upstream names.
+type limitChange struct {
+	at time.Duration
+	// limit is in calls per second; the upstream names none if isLimited is false.
+	limit     float64
+	isLimited bool
+}
+
+// notices is what an upstream says of itself, and to whom it has said it.
+type notices struct {
+	limits    []limitChange
+	isLeaving bool
+	// limitTold and leavingTold are the first answers that each node passed on.
+	limitTold, leavingTold map[*vm]simEntry
+	// arrivals are the times of the calls that count for the limit.
+	arrivals []time.Duration
+}
+
+// setLimit makes the upstream name a limit in calls per second.
+func (u *upstream) setLimit(limit float64) {
+	u.says.limits = append(u.says.limits, limitChange{at: u.vm.site.clock.Now(), limit: limit, isLimited: true})
+	if u.says.limitTold == nil {
+		u.says.limitTold = map[*vm]simEntry{}
+	}
+}
+
+// liftLimit makes the upstream name no limit.
+func (u *upstream) liftLimit() {
+	u.says.limits = append(u.says.limits, limitChange{at: u.vm.site.clock.Now()})
+	u.says.limitTold = nil
+}
+
+// leave makes the upstream say in its answers that it leaves. It sends no message about it.
+func (u *upstream) leave() {
+	u.says.isLeaving, u.says.leavingTold = true, map[*vm]simEntry{}
+	u.isLeaving = true
+}
+
+// notice returns what the upstream says in an answer.
+func (u *upstream) notice() *world.UpstreamNotice {
+	n := &world.UpstreamNotice{IsLeaving: u.says.isLeaving}
+	if list := u.says.limits; len(list) > 0 && list[len(list)-1].isLimited {
+		n.HasCallLimit, n.CallLimit = true, list[len(list)-1].limit
+	}
+	return n
+}
+
+// allowedCalls returns the calls that the limit allows between two times, without the overage. It returns
+// false if there was no limit for a part of the time.
+func (u *upstream) allowedCalls(from, to time.Duration) (calls float64, ok bool) {
+	end := to
+	for i := len(u.says.limits) - 1; i >= 0; i-- {
+		change := u.says.limits[i]
+		if !change.isLimited {
+			return 0, false
+		}
+		calls += change.limit * (end - max(change.at, from)).Seconds()
+		if end = change.at; end <= from {
+			return calls, true
+		}
+	}
+	return 0, false
+}
+
+// limitedSince returns when the upstream first named the present limit.
+func (u *upstream) limitedSince() (at time.Duration, ok bool) {
+	for i := len(u.says.limits) - 1; i >= 0 && u.says.limits[i].isLimited; i-- {
+		at, ok = u.says.limits[i].at, true
+	}
+	return at, ok
+}
+
+// checkNotices counts a call that the rules do not allow.
+func (u *upstream) checkNotices(c *world.Call) {
+	s := u.vm.site
+	now, entry := s.clock.Now(), s.entered[c.ID]
+	if told, ok := u.says.leavingTold[entry.vm]; ok && told.life == entry.life && entry.at > told.at+leaveBindsAfter {
+		s.lateCalls++
+	}
+	since, isLimited := u.limitedSince()
+	told, isTold := u.says.limitTold[entry.vm]
+	if !isLimited || now < since+limitBindsAfter || !isTold || told.life != entry.life || now < told.at+toldBefore {
+		return
+	}
+	u.says.arrivals = append(u.says.arrivals, now)
+	for now-u.says.arrivals[0] > limitWindow {
+		u.says.arrivals = u.says.arrivals[1:]
+	}
+	if allowed, ok := u.allowedCalls(now-limitWindow, now); ok && float64(len(u.says.arrivals)) > limitOverage*allowed+limitSlack {
+		s.limitExcess++
+	}
+}
+
+// enter records where a call enters.
+func (s *site) enter(id world.RequestID, v *vm) {
+	s.entered[id] = simEntry{vm: v, life: v.life, at: s.clock.Now()}
+}
+
+// passOn records what a node passes on to a caller.
+func (s *site) passOn(v *vm, r *world.Reply) {
+	from := s.vmNamed(world.NodeID(r.Header.Get(headerFrom)))
+	if from == nil || r.IsRefusal() {
+		return
+	}
+	says, told := &from.up.says, simEntry{vm: v, life: v.life, at: s.clock.Now()}
+	for _, list := range []map[*vm]simEntry{says.limitTold, says.leavingTold} {
+		if old, ok := list[v]; list != nil && (!ok || old.life != v.life) {
+			list[v] = told
+		}
+	}
+}
+
+// newCatalogueSite returns a site of two services, of which one also calls the other. "catalogue" has four
+// endpoints and uses a fifth of their slots at catalogueRates.
+func newCatalogueSite(c *qt.C, seed int64) *site {
+	routes := []*table.Route{
+		route("reserve", 0, 3*time.Second, 2*time.Second, "desk", false, false),
+		route("browse", 1, 3*time.Second, 2*time.Second, "catalogue", true, false),
+		route("stock", 9, 1200*time.Millisecond, time.Second, "catalogue", true, true),
+	}
+	jobs := map[world.RouteID]job{
+		"browse":  {work: 220 * time.Millisecond},
+		"reserve": {work: 290 * time.Millisecond, calls: []world.RouteID{"stock"}},
+		"stock":   {work: 15 * time.Millisecond},
+	}
+	services := []service{
+		{name: "catalogue", slots: 54, speeds: []float64{0.7, 1, 1, 1.3}},
+		{name: "desk", slots: 64, speeds: []float64{0.7, 1, 1.3}},
+	}
+	return newSite(c, seed, 3, services, routes, testCustomers(), jobs)
+}
+
+// catalogueRates is the usual load of newCatalogueSite in requests per second. Each endpoint of "catalogue"
+// gets some 45 calls per second.
+var catalogueRates = map[string]float64{"browse": 140, "reserve": 40}
+
+// limitedCatalogue are the endpoints of "catalogue" that name a limit, with a limit of half of their calls.
+var limitedCatalogue = map[world.NodeID]float64{"catalogue-0": 16, "catalogue-1": 24, "catalogue-2": 24}
+
+func (s *site) limitCatalogue() {
+	for name, limit := range limitedCatalogue {
+		s.vmNamed(name).up.setLimit(limit)
+	}
+}
+
+func TestCallLimitOfUpstreamIsKept(t *testing.T) {
+	c := qt.New(t)
+	s := newCatalogueSite(c, 71)
+	s.run(3 * time.Second)
+	s.load(5*time.Second, catalogueRates, map[string]*outcome{})
+	s.limitCatalogue()
+	got := map[string]*outcome{}
+	s.load(20*time.Second, catalogueRates, got)
+	s.run(5 * time.Second)
+	c.Assert(s.limitExcess, qt.Equals, 0)
+	// The fourth endpoint has room for what the others do not take.
+	expectServed(c, got, map[string]float64{"browse": 0.97, "reserve": 0.97})
+}
+
+func TestUpstreamThatSaysItLeavesGetsNoCalls(t *testing.T) {
+	c := qt.New(t)
+	s := newCatalogueSite(c, 72)
+	s.run(3 * time.Second)
+	s.load(3*time.Second, catalogueRates, map[string]*outcome{})
+	s.vmNamed("catalogue-1").up.leave()
+	got := map[string]*outcome{}
+	s.load(8*time.Second, catalogueRates, got)
+	s.run(5 * time.Second)
+	c.Assert(s.lateCalls, qt.Equals, 0)
+	expectServed(c, got, map[string]float64{"browse": 0.97, "reserve": 0.97})
+}
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -118,6 +118,11 @@
 	// coldExcess counts the calls to cold upstreams beyond what these may receive.
 	coldExcess int
 	events     *recorder
+	// entered holds where and when each call entered, by request ID.
+	entered map[world.RequestID]simEntry
+	// limitExcess counts the calls beyond the limits that upstreams named, lateCalls those to upstreams
+	// that had said that they leave.
+	limitExcess, lateCalls int
 }
 
 // vm is one VM with a node and an upstream. life changes whenever the node's process starts
@@ -146,6 +151,7 @@
 		cut: map[[2]int]bool{}, runs: map[world.RequestID]int{}, unsafe: map[world.RequestID]bool{},
 		spent:    map[world.RequestID]time.Duration{},
 		crashing: map[string]bool{}, crashes: map[string][]simCrash{}, inTouchAtEntry: map[world.RequestID]bool{}, servedPaths: map[string]int{}, crashingRoots: map[world.RequestID]bool{},
+		entered: map[world.RequestID]simEntry{},
 	}
 	s.events = &recorder{clock: s.clock, counts: map[event.Number]int{}}
 	s.store = newObjects(s)
@@ -428,6 +434,8 @@
 	// evacuatedSince is when the failure domain was evacuated, if isEvacuated is set.
 	isEvacuated    bool
 	evacuatedSince time.Duration
+	// says is what the upstream says about itself in its answers.
+	says notices
 	// streams returns the rest of an answer's body; nil if answers have none.
 	streams func() io.ReadCloser
 }
@@ -446,12 +454,17 @@
 		return func() {}
 	}
 	u.checkEvacuation(c)
+	u.checkNotices(c)
 	if u.countArrival() {
 		s.clock.After(sameDomainDelay, func() { done(nil, world.ErrBroken) })
 		return func() {}
 	}
 	if u.running >= u.slots || u.sheds > 0 && s.random.Float64() < u.sheds {
-		s.clock.After(sameDomainDelay, func() { done(world.Refuse(http.StatusServiceUnavailable, world.CodeUpstreamShed, world.RunNo, 0), nil) })
+		s.clock.After(sameDomainDelay, func() {
+			refusal := world.Refuse(http.StatusServiceUnavailable, world.CodeUpstreamShed, world.RunNo, 0)
+			refusal.Notice = u.notice()
+			done(refusal, nil)
+		})
 		return func() {}
 	}
 	r := &upRun{u: u, call: *c, done: done, life: u.life, nodeLife: u.vm.life}
@@ -630,10 +643,13 @@
 	if s.crashing[path+crashingSuffix] && s.crashingRoots[rootOf(r.call.ID)] {
 		path += crashingSuffix
 	}
+	id := world.RequestID(fmt.Sprintf("%s/%d", rootOf(r.call.ID), s.ids))
+	s.enter(id, v)
 	v.node.Serve(mesh.Incoming{
-		Call:     world.Call{ID: world.RequestID(fmt.Sprintf("%s/%d", rootOf(r.call.ID), s.ids)), Method: "GET", Path: path, Host: "site"},
+		Call:     world.Call{ID: id, Method: "GET", Path: path, Host: "site"},
 		PathOnly: path, Timeout: wait,
 	}, func(reply *world.Reply) {
+		s.passOn(v, reply)
 		if reply.Code == world.CodeQuarantined && !s.crashing[path] {
 			s.wronglyRefused++
 		}
@@ -658,7 +674,7 @@
 		r.end(func() { r.done(nil, world.ErrBroken) })
 		return
 	}
-	reply := &world.Reply{Status: status, Header: http.Header{}}
+	reply := &world.Reply{Status: status, Header: http.Header{headerFrom: {string(r.u.vm.name)}}, Notice: r.u.notice()}
 	if r.u.streams != nil {
 		reply.Rest, reply.Length = r.u.streams(), -1
 	}
@@ -706,6 +722,7 @@
 		}
 		u.isDown, u.isLeaving, u.drained = false, false, false
 		u.coldUntil, u.coldArrivals = s.clock.Now()+u.cold, nil
+		u.says = notices{}
 		u.vm.born = s.clock.Wall().UnixMilli()
 		u.vm.sequence = 0
 		u.vm.sendHeartbeat(mesh.UpstreamReady)
@@ -994,10 +1011,12 @@
 	if !route.Idempotent {
 		s.unsafe[id] = true
 	}
+	s.enter(id, v)
 	v.node.Serve(mesh.Incoming{
 		Call:     world.Call{ID: id, Method: "GET", Path: path, Host: route.Host, Header: http.Header{}},
 		PathOnly: path, Key: key, HasKey: key != "", Timeout: 5 * time.Second,
 	}, func(r *world.Reply) {
+		s.passOn(v, r)
 		switch {
 		case r.IsSuccess():
 			o.served++
