Send no calls to an upstream that says in its answers that it leaves

Callers saw nothing; the upstream received calls for as long as its heartbeats did not say the same. Cause: the header was not read, as for the call limit.

The upstream's node treats such an answer like the upstream's own message that it leaves. Nodes that have passed the answer on remember it for the process that gave it, so that a restart of the upstream's node, a late heartbeat or an older version of that node does not bring calls back.

--- a/core/mesh/notice.go
+++ b/core/mesh/notice.go
@@ -67,6 +67,13 @@
 	if reply.Notice == nil || current != instance {
 		return
 	}
+	if reply.Notice.IsLeaving {
+		if !n.upstreamTracker.isLeaving() {
+			n.Events.Log(event.UpstreamSaysLeaving, event.Field{Name: "instance", Value: instance})
+			n.HandleLeave(instance)
+		}
+		return
+	}
 	switch {
 	case reply.Notice.HasCallLimit:
 		if limit := reply.Notice.CallLimit; n.rateGate.SetLimit(limit) {
--- a/core/mesh/noticeboard.go
+++ b/core/mesh/noticeboard.go
@@ -27,6 +27,8 @@
 	// limit is in calls per second from all nodes. gate limits the calls to this node's share of it.
 	limit float64
 	gate  *admit.RateGate
+	// isLeaving means that the upstream takes no more calls.
+	isLeaving bool
 }
 
 func newNoticeBoard(clock timer.Service) *noticeBoard {
@@ -43,18 +45,19 @@
 	defer b.mu.Unlock()
 	posted := b.entries[from.Node]
 	if posted == nil || !isSameProcess(posted.endpoint, from) {
-		if !notice.HasCallLimit {
+		if !notice.HasCallLimit && !notice.IsLeaving {
 			return
 		}
 		posted = &postedNotice{endpoint: from, gate: admit.NewRateGate(b.clock)}
 		b.entries[from.Node] = posted
 	}
+	posted.isLeaving = posted.isLeaving || notice.IsLeaving
 	if notice.HasCallLimit {
 		posted.limit = notice.CallLimit
 		posted.gate.SetLimit(notice.CallLimit / float64(b.nodeCount))
 		return
 	}
-	if posted.gate.Lift(sent) {
+	if posted.gate.Lift(sent) && !posted.isLeaving {
 		delete(b.entries, from.Node)
 	}
 }
@@ -83,13 +86,17 @@
 	defer b.mu.Unlock()
 	var nodes []world.NodeID
 	for node, posted := range b.entries {
-		if posted.endpoint.Service == service && !posted.endpoint.FollowsNotices && posted.gate.WaitFor(0) > 0 {
+		if posted.endpoint.Service == service && posted.isBlocked() {
 			nodes = append(nodes, node)
 		}
 	}
 	return nodes
 }
 
+func (p *postedNotice) isBlocked() bool {
+	return p.isLeaving || !p.endpoint.FollowsNotices && p.gate.WaitFor(0) > 0
+}
+
 // countCall counts a call to an endpoint. It returns the limit of the endpoint's upstream, nil if none is
 // known.
 func (b *noticeBoard) countCall(to place.Endpoint) *world.CallLimit {
@@ -100,5 +107,8 @@
 		return nil
 	}
 	posted.gate.Take()
+	if _, ok := posted.gate.Limit(); !ok {
+		return nil
+	}
 	return &world.CallLimit{Instance: to.Instance, CallsPerSecond: posted.limit}
 }
