Do not take a repeated refusal for the answer to the next attempt

A faulty upstream may write an earlier refusal once more on a kept connection. Answers are matched by request id, which a second attempt of the same request shares with the first: the request could run while its caller was told that it had not, or run at a second endpoint. Cause: after a refusal by an upstream, proxied requests may return to the same endpoint, and the connection pool may pick the same connection.

A connection on which a request was refused is not used for that request again (io/hops). Refusals are few, so hardly any connection is opened for it. TestDuplicateRefusalDoesNotAnswerTheNextAttempt failed before, at once and with other requests in between, and passes.

--- a/io/hops/duplicates_test.go
+++ b/io/hops/duplicates_test.go
@@ -114,3 +114,27 @@
 		_, _ = io.WriteString(conn, w.data)
 	}
 }
+
+// TestDuplicateRefusalDoesNotAnswerTheNextAttempt sends a request again after the server has refused it, and
+// the server repeats the refusal while it runs the request. Other requests pass the connection in between.
+func TestDuplicateRefusalDoesNotAnswerTheNextAttempt(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\n" + idHeader + ": a\r\n" + refusalHeader + ": 1\r\nContent-Length: 000\r\n\r\n"
+	for name, ids := range map[string][]string{"at once": {"a", "a"}, "later": {"a", "b", "c", "a"}} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newPool()
+			answers := []string{refusal}
+			for _, id := range ids[1 : len(ids)-1] {
+				answers = append(answers, answer(id, "for "+id))
+			}
+			address := listenScript(c, append(answers, refusal+answer("a", "for a")), []string{answer("a", "for a")})
+			for i, id := range ids {
+				r := get(p, address, id)
+				c.Assert(r.err, qt.IsNil)
+				if i > 0 {
+					c.Assert(string(r.resp.Body), qt.Equals, "for "+id)
+				}
+			}
+		})
+	}
+}
--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,6 +46,10 @@
 	// Matches reports whether a response belongs to the request. Other responses are
 	// skipped.
 	Matches func(req *Request, h http.Header) bool
+	// Key identifies a request that may be sent again after a response for which IsRefusal is true: one
+	// that says that the request was not executed. Both may be nil.
+	Key       func(*Request) string
+	IsRefusal func(status int, h http.Header) bool
 }
 
 // Request is an HTTP request to send.
@@ -77,6 +82,8 @@
 	// completely may be sent twice, and it is no longer than this.
 	maxSkippedResponses = 8
 	maxSkippedBodyBytes = 1 << 20
+	// maxRefusedPerConn is the number of refused requests after which a connection is closed.
+	maxRefusedPerConn = 64
 	// MaxHeadBytes bounds the status line and headers of a response. Servers usually send
 	// a few KiB, and each call in progress may buffer up to this limit.
 	MaxHeadBytes = 64 << 10
@@ -114,6 +121,9 @@
 	// may close it afterwards, or Options.Idle has passed.
 	expiresAt time.Time
 	sentBytes int64
+	// refused holds the keys of the requests that were refused on the connection. The server may repeat a
+	// refusal at any later time, so these requests must not be sent on it again.
+	refused []string
 	// headLeft is the number of bytes that may still be read of the current response
 	// head, if inHead is set.
 	headLeft int
@@ -196,7 +206,7 @@
 }
 
 func (p *Pool) do(c *call, req *Request) (*Response, error) {
-	to, err := p.getConn(req.Address)
+	to, err := p.getConn(req)
 	if err != nil {
 		return nil, errors.Wrap(world.ErrNotSent, err.Error())
 	}
@@ -216,10 +226,10 @@
 	return resp, nil
 }
 
-// getConn returns an idle connection that is still usable, or a new one.
-func (p *Pool) getConn(address string) (*conn, error) {
+// getConn returns an idle connection that is still usable for a request, or a new one.
+func (p *Pool) getConn(req *Request) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(req.Address, p.keyOf(req))
 		if c == nil {
 			break
 		}
@@ -229,7 +239,14 @@
 		}
 		_ = c.Close()
 	}
-	return p.dial(address)
+	return p.dial(req.Address)
+}
+
+func (p *Pool) keyOf(req *Request) string {
+	if p.options.Key == nil {
+		return ""
+	}
+	return p.options.Key(req)
 }
 
 func (p *Pool) dial(address string) (*conn, error) {
@@ -255,16 +272,21 @@
 	}()
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes the idle connection that was used last of those that have not refused a key. It returns nil
+// if there is none.
+func (p *Pool) popIdle(address, key string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if len(c.refused) > 0 && slices.Contains(c.refused, key) {
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) putIdle(address string, c *conn) {
@@ -336,6 +358,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.options.IsRefusal != nil && p.options.IsRefusal(resp.StatusCode, resp.Header) {
+		to.refused = append(to.refused, p.keyOf(req))
+	}
 	body := &responseBody{pool: p, call: c, conn: to, address: req.Address, resp: resp, written: written}
 	body.applyKeepAlive()
 	return body.read(p.options.Whole)
@@ -510,7 +535,7 @@
 		// The response arrived before the request was sent completely.
 		reusable = false
 	}
-	if !reusable || b.resp.Close || b.conn.r.Buffered() > 0 {
+	if !reusable || b.resp.Close || b.conn.r.Buffered() > 0 || len(b.conn.refused) > maxRefusedPerConn {
 		_ = b.conn.Close()
 		return
 	}
--- a/io/hops/hops_test.go
+++ b/io/hops/hops_test.go
@@ -17,12 +17,17 @@
 	"wagtailyoke/io/hops"
 )
 
-const idHeader = "X-Id"
+const (
+	idHeader      = "X-Id"
+	refusalHeader = "X-Refused"
+)
 
 func newPool() *hops.Pool {
 	return hops.New(hops.Options{
 		Dial: 300 * time.Millisecond, Idle: time.Minute, IdlePerAddress: 4, Silence: time.Second, Whole: 1 << 10,
-		Matches: func(req *hops.Request, h http.Header) bool { return h.Get(idHeader) == req.Header.Get(idHeader) },
+		Matches:   func(req *hops.Request, h http.Header) bool { return h.Get(idHeader) == req.Header.Get(idHeader) },
+		Key:       func(req *hops.Request) string { return req.Header.Get(idHeader) },
+		IsRefusal: func(_ int, h http.Header) bool { return h.Get(refusalHeader) != "" },
 	})
 }
 
@@ -270,3 +275,40 @@
 	_ = w.Close()
 	c.Assert(<-extra, qt.Equals, len("begin"))
 }
+
+// TestHeadThatIsCutIsNoResponse closes the connection after each byte of a response's head.
+func TestHeadThatIsCutIsNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"without length": "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\n\r\n",
+		"length last":    "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nContent-Length: 15\r\n\r\n",
+		"chunked last":   "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"line feeds":     "HTTP/1.1 200 OK\n" + idHeader + ": a\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for n := 1; n < len(head); n++ {
+				address := listenAndCut(c, head[:n])
+				r := send(newPool(), hops.Request{Address: address, Method: "GET", URI: "/", Host: "h", Header: http.Header{idHeader: {"a"}}})
+				c.Assert(errors.Is(r.err, world.ErrBroken), qt.IsTrue, qt.Commentf("cut after %q: %v, response %+v", head[:n], r.err, r.resp))
+			}
+		})
+	}
+}
+
+// listenAndCut starts a server that answers the first request with some bytes and closes the connection.
+func listenAndCut(c *qt.C, answer string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, answer)
+		}
+		_ = conn.Close()
+	}()
+	return l.Addr().String()
+}
--- a/io/proc/sidecar.go
+++ b/io/proc/sidecar.go
@@ -120,6 +120,8 @@
 		Silence:        upstreamAckTimeout,
 		Whole:          body.WholeBytes,
 		Matches:        platform.AnswersCall,
+		Key:            platform.CallKey,
+		IsRefusal:      platform.IsNotExecuted,
 	})
 	return &upstreamClient{Upstream: platform.NewUpstream(s.Upstream.Address, clock, pool), pool: pool}
 }
