--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 	go test ./platform -run '^$$' -fuzz FuzzConfig -fuzztime 30s
 	go test ./platform -run '^$$' -fuzz FuzzHeartbeat -fuzztime 30s
 	go test ./platform -run '^$$' -fuzz FuzzStoreAnswers -fuzztime 30s
+	go test ./platform -run '^$$' -fuzz FuzzPrunedAnswer -fuzztime 30s
 	go test ./core/mesh -run '^$$' -fuzz FuzzGraph -fuzztime 30s
 	go test ./core/once -run '^$$' -fuzz FuzzDecodeEntries -fuzztime 30s
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -30,6 +30,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"sync"
@@ -292,7 +293,7 @@
 // raiseIncarnationLocked raises the own incarnation above a higher one that other nodes still know
 // from an earlier process. There can be one if the wall clock stepped back.
 func (v *View) raiseIncarnationLocked(r *wire.FleetRecord) {
-	if r.GetIncarnation() > v.self.GetIncarnation() {
+	if r.GetIncarnation() > v.self.GetIncarnation() && r.GetIncarnation() < math.MaxUint64 {
 		v.self.Incarnation = r.GetIncarnation() + 1
 		v.updateSelfLocked()
 	}
--- a/core/mesh/announce.go
+++ b/core/mesh/announce.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -64,12 +66,23 @@
 		return e, errors.Wrapf(ErrMalformedEntry, "entry %q names node %q", name, e.Node)
 	case e.Domain == "" || e.Service == "" || e.Peer == "":
 		return e, errors.Wrapf(ErrMalformedEntry, "entry %q has no domain, service or peer", name)
-	case e.Incarnation == 0:
-		return e, errors.Wrapf(ErrMalformedEntry, "entry %q has no incarnation", name)
+	case e.Incarnation == 0 || e.Incarnation > maxIncarnation:
+		return e, errors.Wrapf(ErrMalformedEntry, "entry %q has incarnation %d, expected 1 to %d", name, e.Incarnation, uint64(maxIncarnation))
+	}
+	host, port, err := net.SplitHostPort(e.Peer)
+	if err != nil {
+		return e, errors.Wrapf(ErrMalformedEntry, "entry %q: peer: %v", name, err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return e, errors.Wrapf(ErrMalformedEntry, "entry %q has peer %q, expected a host and a port from 1 to 65535", name, e.Peer)
 	}
 	return e, nil
 }
 
+// maxIncarnation is far beyond the start time of any process in Unix milliseconds. A node raises its own
+// incarnation above those that it finds, which must not overflow.
+const maxIncarnation = 1 << 53
+
 // announcer maintains the node's own entry in the platform's store.
 type announcer struct {
 	n *Node
--- a/core/mesh/follow_test.go
+++ b/core/mesh/follow_test.go
@@ -1,11 +1,14 @@
 package mesh_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
+	"wagtailyoke/core/mesh"
 	"wagtailyoke/core/wire"
 )
 
@@ -58,3 +61,44 @@
 	s.run(2 * time.Second)
 	c.Assert(got.served, qt.Equals, got.asked, qt.Commentf("%+v", *got))
 }
+
+// TestOddEntriesNameNoNode expects entries of other writers to be rejected: numbers that are too large, and
+// addresses that cannot be called.
+func TestOddEntriesNameNoNode(t *testing.T) {
+	c := qt.New(t)
+	entry := func(peer, incarnation string) []byte {
+		return []byte(fmt.Sprintf(`{"node":"n","domain":"d","service":"s","peer":%q,"incarnation":%s}`, peer, incarnation))
+	}
+	_, err := mesh.DecodeEntry("n", entry("10.0.0.1:7000", "1790000000000"))
+	c.Assert(err, qt.IsNil)
+	for _, odd := range [][]byte{
+		entry("10.0.0.1:99999", "1790000000000"), entry("10.0.0.1:0", "1790000000000"), entry("10.0.0.1:-1", "1790000000000"),
+		entry("10.0.0.1", "1790000000000"), entry(":7000", "1790000000000"), entry("10.0.0.1:http", "1790000000000"),
+		entry("10.0.0.1:7000", "18446744073709551615"), entry("10.0.0.1:7000", "1e300"), entry("10.0.0.1:7000", "-1"),
+		entry("10.0.0.1:7000", "1.5"), entry("10.0.0.1:7000", `"1"`), []byte("null"), []byte("[]"), []byte("{"),
+	} {
+		_, err := mesh.DecodeEntry("n", odd)
+		c.Check(errors.Is(err, mesh.ErrMalformedEntry), qt.IsTrue, qt.Commentf("%s: %v", odd, err))
+	}
+}
+
+// TestNodeOutlivesOddEntryInItsPlace replaces a node's entry by one with the highest incarnation and a wrong
+// port, as another writer may. The node must write its entry again and stay known to the others.
+func TestNodeOutlivesOddEntryInItsPlace(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSite(c, 19)
+	s.run(4 * time.Second)
+	odd := `{"node":"book-1","domain":"d1","service":"book","peer":"book-1:99999","incarnation":18446744073709551615}`
+	s.store.change(mesh.KindNode, mesh.Object{Name: "book-1", Value: []byte(odd)})
+	s.run(5 * time.Second)
+	c.Assert(s.entries(), qt.Contains, "book-1")
+	e, err := mesh.DecodeEntry("book-1", s.store.kinds[mesh.KindNode]["book-1"].Value)
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Peer, qt.Equals, string(s.vmNamed("book-1").address()))
+	before := s.callsByUpstream()["book-1"]
+	got := map[string]*outcome{}
+	s.load(5*time.Second, usualRates, got)
+	s.run(5 * time.Second)
+	c.Assert(s.callsByUpstream()["book-1"] > before, qt.IsTrue)
+	expectServed(c, got, map[string]float64{"view": 0.97, "reserve": 0.97})
+}
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -186,7 +186,7 @@
 	return s
 }
 
-func (v *vm) address() world.Address { return world.Address("peer:" + string(v.name)) }
+func (v *vm) address() world.Address { return world.Address(string(v.name) + ":7000") }
 
 // start starts a new process of the node.
 func (v *vm) start() {
