Keep call limits and leaves that upstreams state on the other request path too

The same fault as in core/mesh, looked for in core/node: answers of upstreams were not read for what they say of the upstream. The product's own headers are Wagtailyoke-Call-Limit and Wagtailyoke-Leaving (docs/OPERATIONS.md). The fair queue takes the same gate as the wait queue; load, level and Retry-After follow from the calls that wait.

Not covered here: a node that has restarted learns the limit from the first answer, not from its callers, and an older build sends on.

--- a/core/admit/fairqueue.go
+++ b/core/admit/fairqueue.go
@@ -45,6 +45,8 @@
 	// InternalShare is the share of the limit that internal calls may use.
 	InternalShare float64
 	Level         LevelOptions
+	// Rate limits the rate of calls while the upstream names a limit.
+	Rate *RateGate
 }
 
 func (o FairQueueOptions) withDefaults() FairQueueOptions {
@@ -75,6 +77,8 @@
 	runningInternal int
 	queued          int
 	classes         [world.ImportanceCount]importanceClass
+	// isWakeScheduled means that the queue will be checked when the rate lets the next call pass.
+	isWakeScheduled bool
 }
 
 // importanceClass holds the queued tickets of one importance.
@@ -96,6 +100,9 @@
 
 // NewFairQueue returns an empty queue.
 func NewFairQueue(clock timer.Service, limiter *Limiter, checks *invar.Checker, options FairQueueOptions) *FairQueue {
+	if options.Rate == nil {
+		options.Rate = NewRateGate(clock)
+	}
 	q := &FairQueue{clock: clock, limiter: limiter, checks: checks, options: options.withDefaults()}
 	q.level = NewLevel(clock, options.Level)
 	for i := range q.classes {
@@ -119,7 +126,7 @@
 	limit := q.limiter.Limit()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.running < limit && q.queued == 0
+	return q.running < limit && q.queued == 0 && q.options.Rate.WaitFor(0) == 0
 }
 
 // Enter starts, queues or sheds a ticket.
@@ -145,13 +152,40 @@
 	if q.running >= limit {
 		return false
 	}
+	if wait := q.options.Rate.WaitFor(0); wait > 0 {
+		q.scheduleWake(wait)
+		return false
+	}
 	if t.Importance != world.ImportanceInternal {
 		return true
 	}
 	return float64(q.runningInternal) < max(1, q.options.InternalShare*float64(limit))
 }
 
+func (q *FairQueue) scheduleWake(wait time.Duration) {
+	if q.isWakeScheduled {
+		return
+	}
+	q.isWakeScheduled = true
+	q.clock.After(wait, func() {
+		q.mu.Lock()
+		q.isWakeScheduled = false
+		q.mu.Unlock()
+		q.Recheck()
+	})
+}
+
+// Recheck starts the calls that may start now, after the rate limit has changed.
+func (q *FairQueue) Recheck() {
+	limit := q.limiter.Limit()
+	q.mu.Lock()
+	next := q.dequeue(limit)
+	q.mu.Unlock()
+	startTickets(next)
+}
+
 func (q *FairQueue) markRunning(t *Ticket) {
+	q.options.Rate.Take()
 	t.state = callRunning
 	t.startedAt = q.clock.Now()
 	q.running++
--- a/core/node/execution.go
+++ b/core/node/execution.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"wagtailyoke/core/admit"
+	"wagtailyoke/core/event"
 	"wagtailyoke/core/once"
 	"wagtailyoke/core/retry"
 	"wagtailyoke/core/timer"
@@ -102,7 +103,8 @@
 }
 
 func (e *execution) shed(code world.Code) {
-	e.finish(world.Refuse(http.StatusServiceUnavailable, code, world.RunNo, e.n.retryAfter(time.Second)))
+	delay := max(time.Second, e.n.rateGate.WaitFor(e.n.queue.Load()))
+	e.finish(world.Refuse(http.StatusServiceUnavailable, code, world.RunNo, e.n.retryAfter(delay)))
 }
 
 // start hands the call to the upstream.
@@ -181,6 +183,7 @@
 		e.end(e.brokenReply(err), admit.Sample{Ignore: true}, false)
 		return
 	}
+	e.handleNotice(reply)
 	sample := admit.Sample{Route: e.call.Route, OwnTime: e.ownTime()}
 	if reply.Status == http.StatusServiceUnavailable && reply.Header.Get("Retry-After") != "" {
 		sample.Shed = true
@@ -191,6 +194,29 @@
 	e.end(reply, sample, true)
 }
 
+// handleNotice applies what the upstream says about itself in its answer, unless it has restarted since.
+func (e *execution) handleNotice(reply *world.Reply) {
+	n := e.n
+	n.mu.Lock()
+	isCurrent := e.generation == n.generation
+	n.mu.Unlock()
+	if reply.Notice == nil || !isCurrent {
+		return
+	}
+	if reply.Notice.IsLeaving {
+		n.UpstreamAnnounced(wire.NodeState_NODE_STATE_DRAINING)
+	}
+	switch {
+	case reply.Notice.HasCallLimit:
+		if n.rateGate.SetLimit(reply.Notice.CallLimit) {
+			n.Events.Log(event.UpstreamLimited, event.Field{Name: "limit", Value: reply.Notice.CallLimit})
+		}
+	case n.rateGate.Lift(e.startAt):
+		n.Events.Log(event.UpstreamUnlimited)
+		n.queue.Recheck()
+	}
+}
+
 // isOver reports whether the call has been cancelled or answered.
 func (e *execution) isOver() bool {
 	e.mu.Lock()
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -136,6 +136,7 @@
 type Node struct {
 	Dependencies
 
+	rateGate      *admit.RateGate
 	queue         *admit.FairQueue
 	limiter       *admit.Limiter
 	routeLevels   *admit.RouteLevels
@@ -183,7 +184,10 @@
 		buckets:      &buckets{byService: map[world.ServiceID]*retry.Bucket{}},
 	}
 	n.limiter = admit.NewLimiter(d.Clock, d.Options.Limit)
-	n.queue = admit.NewFairQueue(d.Clock, n.limiter, d.Checks, d.Options.Queue)
+	n.rateGate = admit.NewRateGate(d.Clock)
+	queueOptions := d.Options.Queue
+	queueOptions.Rate = n.rateGate
+	n.queue = admit.NewFairQueue(d.Clock, n.limiter, d.Checks, queueOptions)
 	n.routeLevels = admit.NewRouteLevels(d.Clock)
 	n.picker = route.NewPicker(d.Clock, rand.New(rand.NewSource(d.Random.Int63())), d.Info.Domain)
 	n.rateLimiter = quota.NewGate(d.Clock, d.Options.TokenWait, n.requestHeartbeat, n.takeReservedToken)
@@ -231,6 +235,8 @@
 	}
 	if restarted {
 		n.limiter.Reset()
+		n.rateGate.Reset()
+		n.queue.Recheck()
 		n.Events.Log(event.UpstreamReady)
 	}
 	if state == wire.NodeState_NODE_STATE_DRAINING {
--- a/core/node/serve.go
+++ b/core/node/serve.go
@@ -26,7 +26,11 @@
 	HeaderRequestID = "Wagtailyoke-Request-Id"
 	// HeaderTimeout is the time left for a call, in milliseconds.
 	HeaderTimeout = "Wagtailyoke-Timeout-Ms"
-	headerPrefix  = "Wagtailyoke-"
+	// HeaderCallLimit is set by upstreams in answers: the calls per second that they take from all nodes
+	// together. HeaderLeaving is "1" in the answers of an upstream that takes no new calls.
+	HeaderCallLimit = "Wagtailyoke-Call-Limit"
+	HeaderLeaving   = "Wagtailyoke-Leaving"
+	headerPrefix    = "Wagtailyoke-"
 )
 
 const bearerPrefix = "Bearer "
--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -81,7 +81,10 @@
 	// failing makes the upstream answer every call with 500 while it accepts connections.
 	failing bool
 	// shedding makes the upstream refuse every call as overloaded.
-	shedding   bool
+	shedding bool
+	// notice is what the upstream says about itself in its answers, starts the times of its calls.
+	notice     world.UpstreamNotice
+	starts     []time.Duration
 	jobs       map[int]*job
 	nextJob    int
 	totalDowns int
@@ -490,6 +493,10 @@
 	finish := func(r *world.Reply, err error) {
 		if u.jobs[id] != nil && u.life == life {
 			delete(u.jobs, id)
+			if r != nil {
+				notice := u.notice
+				r.Notice = &notice
+			}
 			u.v.inGeneration(u.v.life, func() { done(r, err) })
 		}
 	}
@@ -504,6 +511,7 @@
 	}
 	u.jobs[id] = &job{call: c, done: done}
 	f.audit.ran(u, c)
+	u.starts = append(u.starts, f.clock.Now())
 	if strings.Contains(c.Path, "crash=1") {
 		f.clock.After(time.Millisecond, func() {
 			if u.jobs[id] != nil && u.life == life {
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -11,7 +11,9 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -218,6 +220,17 @@
 	IsLeaving bool
 }
 
+// ParseNotice parses the header values in which an upstream names a call limit and says that it leaves. A
+// malformed limit is ignored.
+func ParseNotice(callLimit, leaving string) *UpstreamNotice {
+	notice := &UpstreamNotice{IsLeaving: leaving == "1"}
+	limit, err := strconv.ParseFloat(callLimit, 64)
+	if err == nil && limit >= 0 && !math.IsInf(limit, 0) {
+		notice.HasCallLimit, notice.CallLimit = true, limit
+	}
+	return notice
+}
+
 // Reply is the response to a call, or a refusal if Code is set.
 type Reply struct {
 	Status int
--- a/io/httpx/upstream.go
+++ b/io/httpx/upstream.go
@@ -52,7 +52,8 @@
 			return
 		}
 		body.DropHopHeaders(resp.Header)
-		done(&world.Reply{Status: resp.StatusCode, Header: resp.Header, Body: data}, nil)
+		notice := world.ParseNotice(resp.Header.Get(node.HeaderCallLimit), resp.Header.Get(node.HeaderLeaving))
+		done(&world.Reply{Status: resp.StatusCode, Header: resp.Header, Body: data, Notice: notice}, nil)
 	})
 }
 
