--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -52,7 +52,7 @@
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s),
-		fx.Provide(timer.NewReal, newLog, newMeter, newChecker, newLinks, newListeners, newConfigured, newNode),
+		fx.Provide(timer.NewReal, newLog, newMeter, newChecker, newLinks, newListeners, newConfigured, newUpstreamClient, newNode),
 		fx.Invoke(serve),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(stopLimit+startTimeout),
@@ -139,7 +139,13 @@
 
 func newConfigured() configured { return make(configured) }
 
-func newNode(s *conf.Settings, clock timer.Service, links *peer.Links, l event.Log, m *meter.Meter, checks *invar.Checker, c configured) *node.Node {
+func newUpstreamClient(lc fx.Lifecycle, s *conf.Settings, clock timer.Service) *httpx.Upstream {
+	u := httpx.NewUpstream(s.Upstream.Address, clock)
+	lc.Append(fx.StartStopHook(func() { timer.Every(clock, sweepInterval, u.Sweep) }, u.Close))
+	return u
+}
+
+func newNode(s *conf.Settings, clock timer.Service, links *peer.Links, u *httpx.Upstream, l event.Log, m *meter.Meter, checks *invar.Checker, c configured) *node.Node {
 	seeds := make([]world.Address, 0, len(s.Fleet.Seeds))
 	for _, seed := range s.Fleet.Seeds {
 		seeds = append(seeds, world.Address(seed))
@@ -162,7 +168,7 @@
 		Random:     rand.New(rand.NewSource(seed())),
 		Tokens:     newToken,
 		Links:      links,
-		Upstream:   httpx.NewUpstream(s.Upstream.Address, clock),
+		Upstream:   u,
 		Platform:   platform.NewKeys(s.Platform.URL, time.Duration(s.Platform.TimeoutMs)*time.Millisecond),
 		Metrics:    m,
 		Events:     l,
