Tell callers to return no earlier than the upstreams that refused them say

Found when looking for what else answers say that was dropped: the Retry-After of an upstream that refuses a call. Callers got the node's own short delay and came back to be refused again.

--- a/core/mesh/notice_test.go
+++ b/core/mesh/notice_test.go
@@ -1,6 +1,8 @@
 package mesh_test
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -438,3 +440,31 @@
 	rate := float64(v.up.calls-before) / 4
 	c.Assert(rate > 15, qt.IsTrue, qt.Commentf("%.1f calls per second after the restart", rate))
 }
+
+// TestRefusalNamesTheUpstreamsRetryTime expects callers to be told to come back no earlier than the upstreams
+// that refused them say.
+func TestRefusalNamesTheUpstreamsRetryTime(t *testing.T) {
+	c := qt.New(t)
+	s := newCatalogueSite(c, 81)
+	s.run(3 * time.Second)
+	for _, v := range s.nodes {
+		if v.service == "catalogue" {
+			v.up.sheds, v.up.retryAfter = 1, 2500*time.Millisecond
+		}
+	}
+	refused := 0
+	for range 20 {
+		s.ids++
+		id := world.RequestID(fmt.Sprintf("ask-%d", s.ids))
+		s.nodes[0].node.Serve(mesh.Incoming{
+			Call:     world.Call{ID: id, Method: "GET", Path: "/browse/x", Host: "site", Header: http.Header{}},
+			PathOnly: "/browse/x", Key: key, HasKey: true, Timeout: 5 * time.Second,
+		}, func(r *world.Reply) {
+			refused++
+			c.Check(r.Status, qt.Equals, http.StatusServiceUnavailable)
+			c.Check(r.RetryAfter >= 2500*time.Millisecond, qt.IsTrue, qt.Commentf("Retry-After %v", r.RetryAfter))
+		})
+	}
+	s.run(5 * time.Second)
+	c.Assert(refused, qt.Equals, 20)
+}
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -431,6 +431,8 @@
 	isDown, loses, isLeaving bool
 	// sheds is the fraction of calls that it refuses.
 	sheds float64
+	// retryAfter is when refused calls may return, as it says.
+	retryAfter time.Duration
 	// drained is set once the node has accepted the draining state.
 	drained bool
 	life    int
@@ -473,7 +475,7 @@
 	}
 	if u.running >= u.slots || u.sheds > 0 && s.random.Float64() < u.sheds {
 		s.clock.After(sameDomainDelay, func() {
-			refusal := world.Refuse(http.StatusServiceUnavailable, world.CodeUpstreamShed, world.RunNo, 0)
+			refusal := world.Refuse(http.StatusServiceUnavailable, world.CodeUpstreamShed, world.RunNo, u.retryAfter)
 			refusal.Notice = u.noticeToNode()
 			done(refusal, nil)
 		})
--- a/core/node/execution.go
+++ b/core/node/execution.go
@@ -187,7 +187,8 @@
 	sample := admit.Sample{Route: e.call.Route, OwnTime: e.ownTime()}
 	if reply.Status == http.StatusServiceUnavailable && reply.Header.Get("Retry-After") != "" {
 		sample.Shed = true
-		shed := world.Refuse(http.StatusServiceUnavailable, world.CodeUpstreamShed, world.RunMaybe, e.n.retryAfter(time.Second))
+		delay := max(time.Second, world.ParseRetryAfter(reply.Header.Get("Retry-After")))
+		shed := world.Refuse(http.StatusServiceUnavailable, world.CodeUpstreamShed, world.RunMaybe, e.n.retryAfter(delay))
 		e.end(shed, sample, true)
 		return
 	}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -220,6 +220,19 @@
 	IsLeaving bool
 }
 
+// maxRetryAfter bounds what an upstream may tell callers to wait.
+const maxRetryAfter = 30 * time.Second
+
+// ParseRetryAfter parses the time in seconds after which an upstream that refused a call takes it. It returns 0
+// if the value is no such time.
+func ParseRetryAfter(value string) time.Duration {
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // ParseNotice parses the header values in which an upstream names a call limit and says that it leaves. A
 // malformed limit is ignored.
 func ParseNotice(callLimit, leaving string) *UpstreamNotice {
