--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -54,6 +54,11 @@
 plant takes-to-the-end core/mesh/stop.go 's/return n.refusesCallers \&\& /return n.refusesCallers \&\& n.executionCount < 0 \&\& /' TestCallersThatStay
 plant head-without-bound io/hops/hops.go 's/if c.headLeft <= 0 {/if c.headLeft < -1<<40 {/; s/p\[:min(len(p), c.headLeft)\]/p/' TestEndlessResponses
 plant stream-without-bound core/mesh/proxiedrequest.go 's/^\tif r.Rest == nil {$/\tif r.Rest == nil || p.n != nil {/' TestAnswerWithoutEnd
+plant limit-ignored core/mesh/notice.go 's/^\tcase reply.Notice.HasCallLimit:$/\tcase false:/' TestCallLimitOfUpstreamIsKept
+plant limit-not-passed-on core/mesh/notice.go 's/ \&\& n.rateGate.Suggest(l.CallsPerSecond)/ \&\& false/' TestCallLimitAfterRestart
+plant limit-without-share core/mesh/noticeboard.go 's/return p.isLeaving || .*/return p.isLeaving/' TestCallLimitBesideOldBuild
+plant leave-forgotten core/mesh/noticeboard.go 's/return p.isLeaving || /return /' TestLeaveIsRemembered
+plant refusal-on-its-connection io/hops/hops.go 's/if len(c.refused) > 0 /if false /' TestDuplicateRefusal
 plant shed-from-the-top core/admit/fairqueue.go 's/^\tfor c := range q.classes {$/\tfor c := len(q.classes) - 1; c >= 0; c-- {/' 'TestFairQueue'
 plant budget-copied core/retry/retry.go 's/^\tb.left -= half$/\t_ = half/' 'TestBudget'
 plant share-before-written core/quota/reserved.go 's/^\treturn int64(min(wanted, s.size))$/\treturn int64(wanted)/; s/^const reservedFraction.*/&/' "TestAllLeaders|$chaos"
