Share the least rate of a limited upstream among the entry nodes beside an older build

Found while reading the diff: each entry node kept its own least rate of a call in four seconds, so that the calls to an upstream that takes none grew with the nodes.

--- a/core/admit/rategate.go
+++ b/core/admit/rategate.go
@@ -13,6 +13,8 @@
 // communication.
 type RateGate struct {
 	clock timer.Service
+	// minRate is the rate in calls per second at which the gate stays open.
+	minRate float64
 
 	mu        sync.Mutex
 	isLimited bool
@@ -29,13 +31,21 @@
 const (
 	// rateBurst is the time over which calls that were not sent add up.
 	rateBurst = 250 * time.Millisecond
-	// minCallRate is the rate in calls per second at which a gate stays open. Only answers say that the
-	// limit has ended, so an upstream that takes no calls still receives one from time to time.
+	// minCallRate is the rate in calls per second that an upstream receives at the least. Only answers say
+	// that the limit has ended, so one that takes no calls still receives one from time to time.
 	minCallRate = 0.25
 )
 
 // NewRateGate returns a gate without a limit.
-func NewRateGate(clock timer.Service) *RateGate { return &RateGate{clock: clock} }
+func NewRateGate(clock timer.Service) *RateGate { return &RateGate{clock: clock, minRate: minCallRate} }
+
+// NewSharedRateGate returns a gate without a limit that is one of several for the same upstream.
+func NewSharedRateGate(clock timer.Service) *RateGate { return &RateGate{clock: clock} }
+
+// SetSharedLimit sets this gate's share of a limit in calls per second.
+func (g *RateGate) SetSharedLimit(limit float64, gates int) {
+	g.SetLimit(max(limit, minCallRate) / float64(gates))
+}
 
 // SetLimit sets the limit in calls per second, as an answer names it. It reports whether there was none.
 func (g *RateGate) SetLimit(limit float64) (isFirst bool) {
@@ -98,11 +108,11 @@
 // Rate returns the calls per second that the gate lets pass. It returns false if there is no limit.
 func (g *RateGate) Rate() (rate float64, ok bool) {
 	limit, ok := g.Limit()
-	return max(limit, minCallRate), ok
+	return max(limit, g.minRate), ok
 }
 
 func (g *RateGate) refillLocked() {
-	rate := max(g.limit, minCallRate)
+	rate := max(g.limit, g.minRate)
 	now := g.clock.Now()
 	g.tokens = min(g.tokens+rate*(now-g.refilledAt).Seconds(), max(rate*rateBurst.Seconds(), 1))
 	g.refilledAt = now
@@ -121,7 +131,7 @@
 		return 0
 	}
 	// At least a nanosecond, because a wait of 0 means that the call may be sent.
-	return max(time.Duration(missing/max(g.limit, minCallRate)*float64(time.Second)), 1)
+	return max(time.Duration(missing/max(g.limit, g.minRate)*float64(time.Second)), 1)
 }
 
 // Take counts a call that is sent.
--- a/core/mesh/notice_test.go
+++ b/core/mesh/notice_test.go
@@ -275,6 +275,22 @@
 	expectServed(c, got, map[string]float64{"browse": 0.97, "reserve": 0.97})
 }
 
+// TestNoCallsBesideOldBuild is as TestCallLimitBesideOldBuild for an upstream that takes no calls: the calls that
+// find out about the end of that must be few over all nodes.
+func TestNoCallsBesideOldBuild(t *testing.T) {
+	c := qt.New(t)
+	for seed := int64(82); seed < 86; seed++ {
+		s := newCatalogueSite(c, seed)
+		s.vmNamed("catalogue-0").isOldBuild = true
+		s.run(3 * time.Second)
+		s.load(4*time.Second, catalogueRates, map[string]*outcome{})
+		s.vmNamed("catalogue-0").up.setLimit(0)
+		s.load(20*time.Second, catalogueRates, map[string]*outcome{})
+		s.run(5 * time.Second)
+		c.Assert(s.limitExcess, qt.Equals, 0, qt.Commentf("seed %d", seed))
+	}
+}
+
 // TestCallLimitChangesAndEnds lowers the limits, raises them and lifts them. Afterwards the upstreams must get
 // their share again.
 func TestCallLimitChangesAndEnds(t *testing.T) {
--- a/core/mesh/noticeboard.go
+++ b/core/mesh/noticeboard.go
@@ -48,13 +48,13 @@
 		if !notice.HasCallLimit && !notice.IsLeaving {
 			return
 		}
-		posted = &postedNotice{endpoint: from, gate: admit.NewRateGate(b.clock)}
+		posted = &postedNotice{endpoint: from, gate: admit.NewSharedRateGate(b.clock)}
 		b.entries[from.Node] = posted
 	}
 	posted.isLeaving = posted.isLeaving || notice.IsLeaving
 	if notice.HasCallLimit {
 		posted.limit = notice.CallLimit
-		posted.gate.SetLimit(notice.CallLimit / float64(b.nodeCount))
+		posted.gate.SetSharedLimit(notice.CallLimit, b.nodeCount)
 		return
 	}
 	if posted.gate.Lift(sent) && !posted.isLeaving {
