Ignore what a replaced upstream says in a late answer; drop notices of nodes that are gone

Found while reading the diff. An answer that arrived after the upstream's replacement was known blocked its node, until some record changed; and the notice of a machine that was taken away stayed for good.

--- a/core/mesh/coldstart.go
+++ b/core/mesh/coldstart.go
@@ -9,7 +9,6 @@
 
 	"wagtailyoke/core/admit"
 	"wagtailyoke/core/event"
-	"wagtailyoke/core/wire"
 )
 
 // ColdTolerance is how many calls a cold upstream may receive in a second: Overage times the rate that its
@@ -29,8 +28,6 @@
 	// warmNoticeDelay is added to the cold time that the upstream states, because the gate opens a little
 	// later.
 	warmNoticeDelay = 25 * time.Millisecond
-	// minUsableShare keeps a cold or limited endpoint distinct from others, for which no share is sent.
-	minUsableShare = 1.0 / 256
 )
 
 var errHealthTimeout = errors.New("the upstream did not answer a health check")
@@ -92,31 +89,6 @@
 	})
 }
 
-// usableSlots returns the number of the upstream's slots that calls can use.
-func (n *Node) usableSlots() float64 {
-	if n.evacuations.contains(n.Info.Domain) {
-		return 0
-	}
-	return n.queue.Capacity()
-}
-
-// describeUsableSlots adds to the upstream's information which share of its slots calls can use. It returns
-// the number of these slots, 0 if they are all usable.
-func (n *Node) describeUsableSlots(info *wire.UpstreamInfo) (usableSlots float32) {
-	_, isLimited := n.rateGate.Limit()
-	if info == nil || !isLimited && !n.coldGate.IsCold() {
-		return 0
-	}
-	capacity := n.queue.Capacity()
-	if capacity >= float64(info.Slots) {
-		return 0
-	}
-	share := max(capacity/max(float64(info.Slots), 1), minUsableShare)
-	// The record is sent whenever it changes, so the share is rounded to a power of two.
-	info.UsableShare = float32(math.Exp2(math.Ceil(math.Log2(share))))
-	return float32(max(capacity, minUsableShare))
-}
-
 // healthChecker asks the upstream whether it is cold, while that is unverified. Heartbeats are not enough:
 // they come only every few seconds, and one that was sent before a restart may arrive after it.
 type healthChecker struct {
--- a/core/mesh/noticeboard.go
+++ b/core/mesh/noticeboard.go
@@ -17,6 +17,8 @@
 
 	mu      sync.Mutex
 	entries map[world.NodeID]*postedNotice
+	// current holds the endpoints that nodes report.
+	current map[world.NodeID]place.Endpoint
 	// nodeCount is the number of known nodes.
 	nodeCount int
 }
@@ -29,8 +31,13 @@
 	gate  *admit.RateGate
 	// isLeaving means that the upstream takes no more calls.
 	isLeaving bool
+	postedAt  time.Duration
 }
 
+// noticeTTL is how long a notice outlives the last record that shows its upstream as an endpoint. The node of
+// an upstream that leaves may be cut off and return meanwhile.
+const noticeTTL = 10 * time.Minute
+
 func newNoticeBoard(clock timer.Service) *noticeBoard {
 	return &noticeBoard{clock: clock, entries: map[world.NodeID]*postedNotice{}, nodeCount: 1}
 }
@@ -43,6 +50,10 @@
 func (b *noticeBoard) record(from place.Endpoint, notice world.UpstreamNotice, sent time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if e, ok := b.current[from.Node]; ok && !isSameProcess(e, from) {
+		// A late answer of a process that was replaced.
+		return
+	}
 	posted := b.entries[from.Node]
 	if posted == nil || !isSameProcess(posted.endpoint, from) {
 		if !notice.HasCallLimit && !notice.IsLeaving {
@@ -51,6 +62,7 @@
 		posted = &postedNotice{endpoint: from, gate: admit.NewSharedRateGate(b.clock)}
 		b.entries[from.Node] = posted
 	}
+	posted.postedAt = b.clock.Now()
 	posted.isLeaving = posted.isLeaving || notice.IsLeaving
 	if notice.HasCallLimit {
 		posted.limit = notice.CallLimit
@@ -62,21 +74,23 @@
 	}
 }
 
-// update removes the entries of upstreams that were replaced.
+// update removes the entries of upstreams that were replaced, or have been gone for long.
 func (b *noticeBoard) update(endpoints []place.Endpoint, nodeCount int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.nodeCount = max(nodeCount, 1)
+	b.current = make(map[world.NodeID]place.Endpoint, len(endpoints))
 	for _, e := range endpoints {
-		posted := b.entries[e.Node]
-		if posted == nil {
-			continue
-		}
-		if !isSameProcess(posted.endpoint, e) {
-			delete(b.entries, e.Node)
-			continue
+		b.current[e.Node] = e
+	}
+	for node, posted := range b.entries {
+		e, isReported := b.current[node]
+		switch {
+		case isReported && !isSameProcess(posted.endpoint, e), !isReported && b.clock.Now()-posted.postedAt > noticeTTL:
+			delete(b.entries, node)
+		case isReported:
+			posted.endpoint = e
 		}
-		posted.endpoint = e
 	}
 }
 
