--- a/core/mesh/notice_test.go
+++ b/core/mesh/notice_test.go
@@ -349,24 +349,25 @@
 	c.Assert(s.wasted <= s.worked/20, qt.IsTrue, qt.Commentf("%v of %v wasted", s.wasted, s.worked))
 }
 
-// TestCallLimitsUnderFaults kills and cuts nodes, crashes upstreams and takes the store away, while upstreams
-// name limits, change them and lift them.
-func TestCallLimitsUnderFaults(t *testing.T) {
+// TestNoticesUnderFaults kills and cuts nodes, crashes upstreams, starts older builds and takes the store away,
+// while upstreams name limits, change them, lift them and leave.
+func TestNoticesUnderFaults(t *testing.T) {
 	c := qt.New(t)
 	rapid.Check(t, func(t *rapid.T) {
 		s := newCatalogueSite(c, int64(rapid.IntRange(1, 1<<30).Draw(t, "seed")))
 		s.run(3 * time.Second)
 		for range rapid.IntRange(3, 8).Draw(t, "steps") {
 			v := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
-			s.doLimitStep(v, rapid.IntRange(0, 7).Draw(t, "step"), rapid.Float64Range(0, 40).Draw(t, "limit"))
+			s.doNoticeStep(v, rapid.IntRange(0, 9).Draw(t, "step"), rapid.Float64Range(0, 40).Draw(t, "limit"))
 			s.load(time.Duration(rapid.IntRange(300, 4000).Draw(t, "ms"))*time.Millisecond, catalogueRates, map[string]*outcome{})
 		}
 		s.run(8 * time.Second)
 		c.Assert(s.limitExcess, qt.Equals, 0)
+		c.Assert(s.lateCalls, qt.Equals, 0)
 	})
 }
 
-func (s *site) doLimitStep(v *vm, step int, limit float64) {
+func (s *site) doNoticeStep(v *vm, step int, limit float64) {
 	switch step {
 	case 0, 1, 2:
 		v.up.setLimit(limit)
@@ -387,6 +388,17 @@
 		}
 	case 7:
 		s.store.setDown(!s.store.isDown)
+	case 8:
+		if !v.up.isDown && !v.up.says.isLeaving {
+			v.up.leave()
+			s.clock.After(5*time.Second, func() { v.up.crash(time.Second) })
+		}
+	case 9:
+		if !v.isDead {
+			v.kill()
+			v.isOldBuild = !v.isOldBuild
+			s.clock.After(700*time.Millisecond, v.start)
+		}
 	}
 }
 
