--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -17,8 +17,9 @@
 // suspect.go and quarantinestore.go. Nodes exchange records in exchange.go and admission levels in
 // levels.go. coldstart.go limits the calls to an upstream that has just started, notice.go and
 // noticeboard.go those to one that names a limit or leaves, evacuation.go those to the upstreams of
-// evacuated failure domains; usableslots.go tells other nodes what is left. follow.go and announce.go read and write the store; the
-// objects that all nodes share are in sharedobject.go, quarantinestore.go and graphstore.go.
+// evacuated failure domains; usableslots.go tells other nodes what is left. follow.go and announce.go read
+// and write the store; the objects that all nodes share are in sharedobject.go, quarantinestore.go and
+// graphstore.go.
 //
 // The package opens no sockets and reads no system clock: a process passes real ones in, a test
 // virtual ones.
