review: idle connections stop a ready sidecar

Cause: the listeners keep idle connections for a fixed two minutes and not for the operator's limit, and nothing bounds their number. A process without a free descriptor stays ready.

Adds the case, and the limit of descriptors in the stand-ins.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 var scenarios = map[string]scenario{
 	"tokens": {places: fleet("pricebook", "pricebook", "yardgate", "yardgate"), play: playTokens},
 	"stop":   {places: fleet("stockdesk", "lotbook"), play: playStop},
+	"idle":   {places: fleet("stockdesk", "pricebook"), play: playIdle},
 	"leave":  {places: fleet("stockdesk", "pricebook"), play: playLeave},
 }
 
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -28,8 +28,10 @@
 	// storeAddress is the address of the store.
 	storeAddress string
 	store        *stand.Store
-	machines     []*machine
-	control      *http.Client
+	// maxFiles is the number of descriptors of a process, 0 if it is not limited.
+	maxFiles int
+	machines []*machine
+	control  *http.Client
 
 	mu      sync.Mutex
 	record  *bufio.Writer
@@ -260,6 +262,10 @@
 		return err
 	}
 	cmd := exec.Command(m.site.binary, "sidecar", "--config", m.settings)
+	if m.site.maxFiles > 0 {
+		limited := fmt.Sprintf("ulimit -n %d && exec %s sidecar --config %s", m.site.maxFiles, m.site.binary, m.settings)
+		cmd = exec.Command("bash", "-c", limited)
+	}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
