hops: a reset that the upload sees fails the response

Callers got the first part of an answer as a complete one: an upstream answered a long upload at once with a 200 without length, sent part of the body and reset the connection while the upload was still being written.

Cause: a response without length ends with its connection, so the client took the end of the stream for its end. Linux reports a reset once, to whichever of read and write comes first. strace of a sidecar of the build before, one request: write(20, "uuu"..., 24575) = -1 ECONNRESET read(20, "HTTP/1.1 200 OK"..., 4096) = 391 read(20, "", 4096) = 0 The write took the reset, its error went to the upload alone, and the read after it returned 0. The same holds for a timeout of sent bytes.

Change: a connection remembers a write that failed; the end of the stream after it is an error. A write in progress is interrupted first, since its error may not have been returned yet. EPIPE as the first error is no failure: the kernel returns it only if the upstream had closed its side before the reset, so the response is whole. All pools share this: calls to upstreams, health checks, calls between nodes.

--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -254,7 +254,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw}
+	c := &conn{Conn: &resetConn{Conn: raw}}
 	c.r = bufio.NewReader(c)
 	c.w = bufio.NewWriter(c)
 	return c, nil
