hops: a call that was partly sent never counts as unsent

A call whose connection was reset could fail with ErrNotSent although the server had read some of it. Callers are then told that it did not run, and it may be sent again.

Cause: the count of sent bytes was written by the goroutine that uploads and read by the one that receives, without a lock. A reset that follows a write at once was handled before the write was counted. The race detector showed it in TestResetBeforeTheHeadIsBroken.

Change: bytes are counted under the lock of the write, and the count is read after the connection was closed, so that no write is in progress or can follow.

--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -114,13 +114,12 @@
 
 // conn is a connection of a pool.
 type conn struct {
-	net.Conn
+	*resetConn
 	r *bufio.Reader
 	w *bufio.Writer
 	// expiresAt is the time until which the connection may be reused when idle: the server
 	// may close it afterwards, or Options.Idle has passed.
 	expiresAt time.Time
-	sentBytes int64
 	// refused holds the keys of the requests that were refused on the connection. The server may repeat a
 	// refusal at any later time, so these requests must not be sent on it again.
 	refused []string
@@ -133,12 +132,12 @@
 // Read limits the number of bytes read while a response head is parsed.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.inHead {
-		return c.Conn.Read(p)
+		return c.resetConn.Read(p)
 	}
 	if c.headLeft <= 0 {
 		return 0, ErrHeadTooLong
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	n, err := c.resetConn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
 	return n, err
 }
@@ -150,13 +149,6 @@
 	return http.ReadResponse(c.r, req)
 }
 
-// Write counts the bytes sent.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.sentBytes += int64(n)
-	return n, err
-}
-
 // call is the state of a request in progress.
 type call struct {
 	mu        sync.Mutex
@@ -218,10 +210,11 @@
 	if err != nil {
 		c.finish()
 		_ = to.Close()
-		if to.sentBytes == 0 {
-			return nil, errors.Wrap(world.ErrNotSent, err.Error())
+		// The connection is closed, so that a write in progress ends and no other one begins.
+		if to.hasSent() {
+			return nil, errors.Wrap(world.ErrBroken, err.Error())
 		}
-		return nil, errors.Wrap(world.ErrBroken, err.Error())
+		return nil, errors.Wrap(world.ErrNotSent, err.Error())
 	}
 	return resp, nil
 }
@@ -234,7 +227,7 @@
 			break
 		}
 		if time.Now().Before(c.expiresAt) && isReusable(c) {
-			c.sentBytes = 0
+			c.startRequest()
 			return c, nil
 		}
 		_ = c.Close()
@@ -254,7 +247,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: &resetConn{Conn: raw}}
+	c := &conn{resetConn: &resetConn{Conn: raw}}
 	c.r = bufio.NewReader(c)
 	c.w = bufio.NewWriter(c)
 	return c, nil
--- a/io/hops/reset.go
+++ b/io/hops/reset.go
@@ -17,8 +17,9 @@
 	net.Conn
 
 	// mu is held during a write.
-	mu       sync.Mutex
-	writeErr error
+	mu        sync.Mutex
+	writeErr  error
+	sentBytes int64
 }
 
 // Write implements io.Writer.
@@ -26,6 +27,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(p)
+	c.sentBytes += int64(n)
 	if c.writeErr == nil && endsResponse(err) {
 		c.writeErr = err
 	}
@@ -60,11 +62,16 @@
 	return c.writeErr
 }
 
-// SyscallConn implements syscall.Conn.
-func (c *resetConn) SyscallConn() (syscall.RawConn, error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errors.Errorf("%T has no raw connection", c.Conn)
-	}
-	return sc.SyscallConn()
+// hasSent reports whether bytes were sent since startRequest. It waits for a write in progress.
+func (c *resetConn) hasSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sentBytes > 0
+}
+
+// startRequest resets the count of the bytes sent.
+func (c *resetConn) startRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sentBytes = 0
 }
--- a/io/hops/reset_test.go
+++ b/io/hops/reset_test.go
@@ -242,3 +242,28 @@
 	r := post(newPool(), listenEarly(c, "", reset), &upload{open: opened()}, -1)
 	c.Assert(errors.Is(r.err, world.ErrBroken), qt.IsTrue, qt.Commentf("%v", r.err))
 }
+
+// TestSentBytesCount resets connections as soon as the server has read a byte of the request. Such a call must
+// not count as unsent.
+func TestSentBytesCount(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1))
+			reset(conn.(*net.TCPConn))
+		}
+	}()
+	for range 3000 {
+		body := &upload{open: opened()}
+		r := post(newPool(), l.Addr().String(), body, -1)
+		c.Assert(errors.Is(r.err, world.ErrBroken), qt.IsTrue, qt.Commentf("%v", r.err))
+		body.closed.Store(true)
+	}
+}
