hops: a response with an invalid field name is broken

Callers got a 200 for a response whose head held a field name with a blank. With "Transfer-Encoding : chunked" the body they got was the chunks themselves.

Cause: net/textproto accepts blanks in field names and keeps such a name as it is, so net/http finds no length or encoding in it and reads the body to the end of the connection. A name with a blank before it is joined to the field before it.

Change: each line of a head that net/http has accepted is checked: its name is a token (RFC 9110, section 5.1). Folded lines have none and fail too, as a gateway may do (RFC 9112, section 5.2).

--- /dev/null
+++ b/io/hops/head_test.go
@@ -0,0 +1,74 @@
+package hops_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"wagtailyoke/core/world"
+)
+
+const (
+	okLine  = "HTTP/1.1 200 OK\r\n"
+	idField = idHeader + ": a\r\n"
+)
+
+// expectBroken checks that none of some answers passes, whether the server keeps the connection or closes it.
+func expectBroken(t *testing.T, answers map[string]string) {
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for _, address := range []string{listenScript(c, []string{answer}), listenAndCut(c, answer)} {
+				r := get(newPool(), address, "a")
+				c.Assert(errors.Is(r.err, world.ErrBroken), qt.IsTrue, qt.Commentf("%q: %v, response %+v", answer, r.err, r.resp))
+			}
+		})
+	}
+}
+
+// expectWhole checks that answers pass with the body "whole". The server closes the connection.
+func expectWhole(t *testing.T, answers map[string]string) {
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			expectBody(c, get(newPool(), listenAndCut(c, answer), "a"), "whole")
+		})
+	}
+}
+
+func TestFieldNamesAreTokens(t *testing.T) {
+	answers := map[string]string{}
+	for _, field := range []string{
+		"X Bad: 1", "X-Bad : 1", "X-Bad\t: 1", " X-Bad: 1", "\tX-Bad: 1", ": 1", "X-Bad", "X\x00Bad: 1", "X\x01Bad: 1", "X\x7fBad: 1",
+		"X\rBad: 1", "X-B\xc3\xa4d: 1", "X(Bad): 1", "X/Bad: 1",
+		"Content-Length : 5", "Content-Length\t: 5", "Transfer-Encoding : chunked", "Content Length: 5",
+	} {
+		answers["first "+field] = okLine + field + "\r\n" + idField + "Content-Length: 5\r\n\r\nwhole"
+		answers["last "+field] = okLine + idField + "Content-Length: 5\r\n" + field + "\r\n\r\nwhole"
+		answers["line feeds "+field] = "HTTP/1.1 200 OK\n" + idHeader + ": a\nContent-Length: 5\n" + field + "\n\nwhole"
+		answers["informational "+field] = "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
+		answers["of another "+field] = okLine + idHeader + ": b\r\nContent-Length: 5\r\n" + field + "\r\n\r\nother" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
+	}
+	answers["folded"] = okLine + idField + "X-Good: 1\r\n X-Bad: 1\r\nContent-Length: 5\r\n\r\nwhole"
+	answers["folded without a name"] = okLine + idField + "X-Good: 1\r\n\t\r\nContent-Length: 5\r\n\r\nwhole"
+	answers["length with a blank"] = okLine + idField + "Content-Length : 5\r\n\r\nwhole"
+	answers["encoding with a blank"] = okLine + idField + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+	expectBroken(t, answers)
+	expectWhole(t, map[string]string{
+		"lower case":   okLine + "x-id: a\r\ncontent-length: 5\r\n\r\nwhole",
+		"odd tokens":   okLine + idField + "!#$%&'*+-.^_`|~09: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"empty values": okLine + idField + "X-Empty:\r\nContent-Length:5\r\n\r\nwhole",
+		"blank values": okLine + idField + "X-Blank: \t a b \t\r\nContent-Length: \t5 \r\n\r\nwhole",
+		"line feeds":   "HTTP/1.1 200 OK\n" + idHeader + ": a\nContent-Length: 5\n\nwhole",
+	})
+}
+
+func TestFieldValuesHaveNoControlBytes(t *testing.T) {
+	answers := map[string]string{}
+	for _, value := range []string{"\x00", "a\x01b", "\x1f", "\x7f", "a\rb"} {
+		answers[value] = okLine + idField + "Content-Length: 5\r\nX-Bad: " + value + "\r\n\r\nwhole"
+	}
+	expectBroken(t, answers)
+	expectWhole(t, map[string]string{"other bytes": okLine + idField + "X: \xe4\xff\tb\r\nContent-Length: 5\r\n\r\nwhole"})
+}
--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -127,9 +127,11 @@
 	// head, if inHead is set.
 	headLeft int
 	inHead   bool
+	// head holds the bytes read since the current response head began.
+	head []byte
 }
 
-// Read limits the number of bytes read while a response head is parsed.
+// Read limits and records the bytes read while a response head is parsed.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.inHead {
 		return c.resetConn.Read(p)
@@ -139,14 +141,27 @@
 	}
 	n, err := c.resetConn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	c.head = append(c.head, p[:n]...)
 	return n, err
 }
 
 // readResponse parses a response head of at most MaxHeadBytes.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	buffered, err := c.r.Peek(c.r.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.head = slices.Clone(buffered)
 	c.inHead, c.headLeft = true, MaxHeadBytes
-	defer func() { c.inHead = false }()
-	return http.ReadResponse(c.r, req)
+	defer func() { c.inHead, c.head = false, nil }()
+	resp, err := http.ReadResponse(c.r, req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(c.head[:len(c.head)-c.r.Buffered()]); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // call is the state of a request in progress.
