hops: a response with an invalid status line is broken

Callers got answers with the status 600 and 999 and of HTTP/2.0. A status 000 did not reach them, but a call whose response was "000" without a body was kept waiting to its deadline, and a response that followed it was taken for its answer.

Cause: net/http accepts any version and any three bytes that strconv.Atoi reads, "-00" too, and the client skipped everything below 200 as an interim response.

--- a/io/hops/head_test.go
+++ b/io/hops/head_test.go
@@ -72,3 +72,30 @@
 	expectBroken(t, answers)
 	expectWhole(t, map[string]string{"other bytes": okLine + idField + "X: \xe4\xff\tb\r\nContent-Length: 5\r\n\r\nwhole"})
 }
+
+func TestStatusLinesAreValid(t *testing.T) {
+	answers := map[string]string{}
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 -20 OK",
+		"HTTP/1.1 +20 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2 0 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 0x1 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", " HTTP/1.1 200 OK",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 101 Switching Protocols",
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/3.1 200 OK", "HTTP/1.10 200 OK", "http/1.1 200 OK", "HTTP/1.1", "HTTP/1.1 OK", "200 OK",
+	} {
+		answers[line] = line + "\r\n" + idField + "Content-Length: 5\r\n\r\nwhole"
+		answers["no body "+line] = line + "\r\n" + idField + "Content-Length: 0\r\n\r\n"
+		answers["no length "+line] = line + "\r\n" + idField + "\r\nwhole"
+		answers["of another "+line] = line + "\r\n" + idHeader + ": b\r\nContent-Length: 5\r\n\r\nother" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
+	}
+	expectBroken(t, answers)
+	expectWhole(t, map[string]string{
+		"reason":           "HTTP/1.1 200 It\tis \xe4 OK\r\n" + idField + "Content-Length: 5\r\n\r\nwhole",
+		"empty reason":     "HTTP/1.1 200 \r\n" + idField + "Content-Length: 5\r\n\r\nwhole",
+		"no reason":        "HTTP/1.1 200\r\n" + idField + "Content-Length: 5\r\n\r\nwhole",
+		"version 1.0":      "HTTP/1.0 200 OK\r\n" + idField + "Content-Length: 5\r\n\r\nwhole",
+		"version 1.2":      "HTTP/1.2 200 OK\r\n" + idField + "Content-Length: 5\r\n\r\nwhole",
+		"first status":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + okLine + idField + "Content-Length: 5\r\n\r\nwhole",
+		"last status":      "HTTP/1.1 599 Odd\r\n" + idField + "Content-Length: 5\r\n\r\nwhole",
+		"unnamed status":   "HTTP/1.1 299 Odd\r\n" + idField + "Content-Length: 5\r\n\r\nwhole",
+		"without a length": okLine + idField + "\r\nwhole",
+	})
+}
