hops: a response with contradicting lengths is broken

Callers got a 200 for a response with both a length and chunks, and the chunks themselves as the body of a response of HTTP/1.0. An interim response or a 204 with a length passed too, with its body left in front of the next response.

Cause: net/http checks the values of Content-Length and Transfer-Encoding, then drops the length beside chunks, the encoding of HTTP/1.0 and both where the status has no body. RFC 9112, section 6.1, calls the first an error and the second faulty framing.

"Content-Length: 0" in a 204 passes.

--- a/io/hops/head_test.go
+++ b/io/hops/head_test.go
@@ -99,3 +99,48 @@
 		"without a length": okLine + idField + "\r\nwhole",
 	})
 }
+
+func TestLengthsAreValid(t *testing.T) {
+	answers := map[string]string{}
+	for _, fields := range []string{
+		"Content-Length: -5", "Content-Length: +5", "Content-Length: 5a", "Content-Length: 0x5", "Content-Length: 5 5", "Content-Length: 5.0",
+		"Content-Length: 5, 6", "Content-Length:", "Content-Length: 5\r\nContent-Length: 6", "Content-Length: 99999999999999999999",
+		"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding: identity",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding:",
+		"Transfer-Encoding: chunked\r\nContent-Length: 5", "Content-Length: 5\r\nTransfer-Encoding: chunked",
+		"transfer-encoding: chunked\r\ncontent-length: 15",
+	} {
+		for _, status := range []string{"200 OK", "204 No Content", "304 Not Modified", "500 Error"} {
+			answers[status+" "+fields] = "HTTP/1.1 " + status + "\r\n" + idField + fields + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+		}
+	}
+	for _, fields := range []string{"Transfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 5", "Transfer-Encoding: gzip"} {
+		answers["version 1.0 "+fields] = "HTTP/1.0 200 OK\r\n" + idField + fields + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+	}
+	for _, fields := range []string{"Transfer-Encoding: chunked", "Content-Length: 5", "Content-Length: 0x"} {
+		answers["no content "+fields] = "HTTP/1.1 204 No Content\r\n" + idField + fields + "\r\n\r\n"
+		answers["informational "+fields] = "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n\r\n" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
+	}
+	for _, chunk := range []string{
+		"-5\r\nwhole\r\n", "+5\r\nwhole\r\n", "0x5\r\nwhole\r\n", "5g\r\nwhole\r\n", "\r\nwhole\r\n", " 5\r\nwhole\r\n", "5\nwhole\r\n", "5\r\nwhole!\r\n", "5\r\nwhole\n",
+		"5\r\nwhole", "6\r\nwhole\r\n", "4\r\nwhole\r\n", "00000000000000005\r\nwhole\r\n", "5\rx\nwhole\r\n",
+	} {
+		answers["chunk "+chunk] = okLine + idField + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n"
+	}
+	expectBroken(t, answers)
+	expectWhole(t, map[string]string{
+		"leading zeros":    okLine + idField + "Content-Length: 0005\r\n\r\nwhole",
+		"equal lengths":    okLine + idField + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nwhole",
+		"chunks":           okLine + idField + "Transfer-Encoding: Chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n",
+		"chunk extensions": okLine + idField + "Transfer-Encoding: chunked\r\n\r\n05;a=\"b\"\r\nwhole\r\n000;c\r\n\r\n",
+		"chunks of errors": "HTTP/1.1 500 Error\r\n" + idField + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	})
+
+	c := qt.New(t)
+	for _, fields := range []string{"", "Content-Length: 0\r\n"} {
+		expectBody(c, get(newPool(), listenScript(c, []string{"HTTP/1.1 204 No Content\r\n" + idField + fields + "\r\n"}), "a"), "")
+		expectBody(c, get(newPool(), listenScript(c, []string{"HTTP/1.1 304 Not Modified\r\n" + idField + "Content-Length: 5\r\n\r\n"}), "a"), "")
+	}
+	longest := okLine + idField + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nwhole"
+	c.Assert(errors.Is(get(newPool(), listenAndCut(c, longest), "a").err, world.ErrBroken), qt.IsTrue)
+}
