hops: a trailer with an invalid field name breaks its response

A response in chunks passed although a field name in its trailer held a blank. It is the cause of the names in heads: net/textproto accepts blanks.

Change: the names of the trailer are checked at the end of the body. A buffered response fails; a streamed one is cut, so that its caller does not take it for complete. Other invalid trailers were rejected before.

--- a/io/hops/head.go
+++ b/io/hops/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -103,3 +104,24 @@
 	}
 	return nil
 }
+
+// chunkedBody is a body in chunks with the trailer that follows it.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader. Names of trailer fields are checked like those of the head.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name, values := range b.resp.Trailer {
+		// Fields that were announced and not sent have no values.
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return n, errors.Errorf("field name %q of the trailer is not a token", name)
+		}
+	}
+	return n, io.EOF
+}
--- a/io/hops/head_test.go
+++ b/io/hops/head_test.go
@@ -1,6 +1,7 @@
 package hops_test
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -144,3 +145,22 @@
 	longest := okLine + idField + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nwhole"
 	c.Assert(errors.Is(get(newPool(), listenAndCut(c, longest), "a").err, world.ErrBroken), qt.IsTrue)
 }
+
+func TestTrailersAreValid(t *testing.T) {
+	const chunks = okLine + idField + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+	answers := map[string]string{}
+	for _, fields := range []string{"X Bad: 1", "X-Bad : 1", "X\x01Bad: 1", " X-Bad: 1", "X-Bad", ": 1", "X-Bad: \x00"} {
+		answers["field "+fields] = chunks + fields + "\r\n\r\n"
+		answers["of another "+fields] = okLine + idHeader + ": b\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields + "\r\n\r\n" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
+	}
+	expectBroken(t, answers)
+	expectWhole(t, map[string]string{
+		"fields":    chunks + "X-Good: 1\r\nx-more: 2\r\n\r\n",
+		"announced": strings.Replace(chunks, "Transfer", "Trailer: X-Good, X-None\r\nTransfer", 1) + "X-Good: 1\r\n\r\n",
+	})
+	c := qt.New(t)
+	long := strings.Repeat("p", 0xbb8)
+	r := get(newPool(), listenAndCut(c, okLine+idField+"Transfer-Encoding: chunked\r\n\r\nbb8\r\n"+long+"\r\n0\r\nX Bad: 1\r\n\r\n"), "a")
+	_, err := readAll(r)
+	c.Assert(err, qt.IsNotNil)
+}
