hops: a short upload closes its connection

An upstream that answered a long upload early, kept the connection and read on later got the head of the next request where the rest of the body was due. Both requests were lost; the second one ended with 504 at its timeout.

Cause: io.Copy of the caller's body returns nil at its end, also before the length that was sent with the head, so the connection counted as free. Trace of a sidecar, upload of 307,200 bytes: "POST /map/raw112 HTTP/1.1" at byte 233,472 of the body of raw109.

Change: a body that ends before its length is an error of the upload, which closes the connection. More bytes than the length are never sent.

TestShortBodyClosesConnection failed before.

--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -94,6 +94,7 @@
 	errCancelled          = errors.New("call was cancelled")
 	errTooManySkipped     = errors.New("too many responses to other requests")
 	errSkippedBodyTooLong = errors.Errorf("body of a response to another request is longer than %d bytes", maxSkippedBodyBytes)
+	errShortBody          = errors.New("request body is shorter than its length")
 	// ErrHeadTooLong means that a response head is longer than MaxHeadBytes.
 	ErrHeadTooLong = errors.Errorf("response head is longer than %d bytes", MaxHeadBytes)
 )
@@ -409,7 +410,11 @@
 		return err
 	}
 	// Copy past the buffer, to send each part at once even if the caller is slow.
-	_, err := io.Copy(to, req.Rest)
+	rest := length - int64(len(req.Body))
+	n, err := io.Copy(to, io.LimitReader(req.Rest, rest))
+	if err == nil && n < rest {
+		return errShortBody
+	}
 	return err
 }
 
--- a/io/hops/hops_test.go
+++ b/io/hops/hops_test.go
@@ -276,6 +276,41 @@
 	c.Assert(<-extra, qt.Equals, len("begin"))
 }
 
+// TestShortBodyClosesConnection sends a body that ends before its length. The server takes the bytes that follow
+// on the connection for the rest of it.
+func TestShortBodyClosesConnection(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	bodies := make(chan string, 2)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				// The body is sent by now.
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(conn, answer(req.Header.Get(idHeader), "early"))
+				_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+				body, _ := io.ReadAll(req.Body)
+				_ = conn.Close()
+				bodies <- string(body)
+			}()
+		}
+	}()
+	p := newPool()
+	expectBody(c, post(p, l.Addr().String(), strings.NewReader(" end"), 1<<20), "early")
+	expectBody(c, get(p, l.Addr().String(), "b"), "early")
+	c.Assert(<-bodies, qt.Equals, "begin end")
+}
+
 // TestHeadThatIsCutIsNoResponse closes the connection after each byte of a response's head.
 func TestHeadThatIsCutIsNoResponse(t *testing.T) {
 	for name, head := range map[string]string{
