hops: the rest of a failed upload is read

A caller that sends all of its body before it reads the response waited to its deadline when the upload failed while the response was streamed: nobody read the rest of its body.

Change: after a failed write the rest of the body is read and discarded, until the body or the call ends.

TestUploadIsReadAfterItFailed failed before.

--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -364,7 +364,14 @@
 		}
 		written <- nil
 	} else {
-		go func() { written <- writeRequest(to, req) }()
+		go func() {
+			err := writeRequest(to, req)
+			written <- err
+			if err != nil && to.hasSent() {
+				// The caller may send all of its body before it reads the response.
+				_, _ = io.Copy(io.Discard, req.Rest)
+			}
+		}()
 	}
 	resp, err := p.readHead(to, req)
 	if err != nil {
--- a/io/hops/reset_test.go
+++ b/io/hops/reset_test.go
@@ -267,3 +267,39 @@
 		body.closed.Store(true)
 	}
 }
+
+// countingReader counts the bytes read and closes ended at the end.
+type countingReader struct {
+	io.Reader
+	n     int
+	ended chan struct{}
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.n += n
+	if err != nil {
+		close(r.ended)
+	}
+	return n, err
+}
+
+// TestUploadIsReadAfterItFailed resets the connection during an upload. Its caller may send all of it before it
+// reads the response, and must not be kept waiting.
+func TestUploadIsReadAfterItFailed(t *testing.T) {
+	const size = 8 << 20
+	c := qt.New(t)
+	for name, end := range map[string]func(*net.TCPConn){"reset": reset, "closed": closeWriting} {
+		for _, length := range []int64{size + int64(len("begin")), -1} {
+			body := &countingReader{Reader: io.LimitReader(&upload{open: opened()}, size), ended: make(chan struct{})}
+			_, _ = readAll(post(newPool(), listenEarly(c, withoutLength+strings.Repeat("p", 3000), end), body, length))
+			select {
+			case <-body.ended:
+				c.Assert(body.n, qt.Equals, size)
+			case <-time.After(time.Second):
+				c.Fatalf("%s: the rest of the upload is not read", name)
+			}
+		}
+	}
+}
