body: an answer leaves the upload of its request alone

An upstream that answered a long upload early and read on later got other bytes where the rest of the body was due, or a body in chunks with a part missing. Whole early answers were cut on their way.

Cause: net/http reads up to 256 KiB of an unread request body by itself before it writes a reply, while the client of the upstream reads the same body: the parts that net/http took were missing in between. When the handler had returned, net/http interrupted the read in progress, could not read the rest of the chunks and closed the connection with unread bytes. Such a close resets the connection, and the client loses what it has not read.

Change: full duplex for bodies that are streamed, so that each byte is read once and passed on. A reply that begins before the end of the upload says Connection: close, and the rest of the upload is read for at most 500 ms after the reply, so that the close does not reset. Connection fields of another node's reply no longer pass to callers.

--- a/io/body/body.go
+++ b/io/body/body.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	data, rest, length, err := body.Read(r)
+//	data, upload, length, err := body.Read(w, r)
 //	err := body.Write(w, reply)
 package body
 
@@ -20,9 +20,9 @@
 // buffers of a body for each call in progress.
 const WholeBytes = 128 << 10
 
-// Read buffers a request body of up to WholeBytes. If the body is longer, rest is the
+// Read buffers a request body of up to WholeBytes. If the body is longer, upload is the
 // remainder and length the Content-Length, or -1 if unknown.
-func Read(r *http.Request) (data []byte, rest io.Reader, length int64, err error) {
+func Read(w http.ResponseWriter, r *http.Request) (data []byte, upload *Upload, length int64, err error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil, 0, nil
 	}
@@ -33,7 +33,8 @@
 	if len(data) <= WholeBytes {
 		return data, nil, int64(len(data)), nil
 	}
-	return data, r.Body, r.ContentLength, nil
+	upload, err = newUpload(w, r)
+	return data, upload, r.ContentLength, err
 }
 
 // Write writes the status and body of a reply; the caller has set the other headers. If
--- a/io/httpx/mesh.go
+++ b/io/httpx/mesh.go
@@ -47,43 +47,49 @@
 	w, r := c.Writer, c.Request
 	in, ok := f.dialect.Read(r)
 	if !ok {
-		f.write(w, in.Call.ID, world.Refuse(http.StatusBadRequest, world.CodeBadRequest, world.RunNo, 0))
+		f.write(w, in.Call.ID, world.Refuse(http.StatusBadRequest, world.CodeBadRequest, world.RunNo, 0), nil)
 		return
 	}
 	if limits, ok := f.node.Limits(); ok && limits.BodyBytes > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
 	}
-	var err error
-	if in.Call.Body, in.Call.Rest, in.Call.Length, err = body.Read(r); err != nil {
-		f.write(w, in.Call.ID, bodyRefusal(err))
+	data, upload, length, err := body.Read(w, r)
+	if err != nil {
+		f.write(w, in.Call.ID, bodyRefusal(err), nil)
 		return
 	}
+	in.Call.Body, in.Call.Rest, in.Call.Length = data, upload.Rest(), length
 	body.DropHopHeaders(in.Call.Header)
 	in.Call.Header.Del("Content-Length")
 	answer := body.NewAnswer()
 	cancel := f.node.Serve(in, answer.Set)
 	select {
 	case reply := <-answer.Replies():
-		f.write(w, in.Call.ID, reply)
+		f.write(w, in.Call.ID, reply, upload)
 	case <-r.Context().Done():
 		cancel()
 		answer.Abandon()
 	}
 }
 
-func (f *meshFront) write(w http.ResponseWriter, id world.RequestID, r *world.Reply) {
+func (f *meshFront) write(w http.ResponseWriter, id world.RequestID, r *world.Reply, upload *body.Upload) {
+	h := w.Header()
+	if !r.IsRefusal() {
+		for name, values := range r.Header {
+			h[name] = values
+		}
+		// Those of another node are for the connection to it.
+		body.DropHopHeaders(h)
+	}
 	if f.node.IsStopping() {
-		w.Header().Set("Connection", "close")
+		h.Set("Connection", "close")
 	}
+	upload.BeginReply(h)
 	if r.IsRefusal() {
-		f.dialect.DressRefusal(w.Header(), id, r)
+		f.dialect.DressRefusal(h, id, r)
 		writeProblemBody(w, r)
-		return
-	}
-	h := w.Header()
-	for name, values := range r.Header {
-		h[name] = values
+	} else {
+		body.Write(w, r)
 	}
-	dropHopHeadersButClose(h)
-	body.Write(w, r)
+	upload.EndReply(w)
 }
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -262,26 +262,30 @@
 		return
 	}
 	c.Path = r.RequestURI
-	if c.Body, c.Rest, c.Length, err = body.Read(r); err != nil {
+	data, upload, length, err := body.Read(w, r)
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	c.Body, c.Rest, c.Length = data, upload.Rest(), length
 	body.DropHopHeaders(c.Header)
 	c.Header.Del("Content-Length")
-	serveAndWait(r, c, s.handler.ServePeer, func(reply *world.Reply) { s.writeReply(w, c.ID, reply) })
+	serveAndWait(r, c, s.handler.ServePeer, func(reply *world.Reply) { s.writeReply(w, c.ID, reply, upload) })
 }
 
-func (s *MeshServer) writeReply(w http.ResponseWriter, id world.RequestID, reply *world.Reply) {
+func (s *MeshServer) writeReply(w http.ResponseWriter, id world.RequestID, reply *world.Reply, upload *body.Upload) {
 	h := w.Header()
 	if err := setReplyHeaders(h, id, reply); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	body.DropHopHeaders(h)
+	upload.BeginReply(h)
 	if h.Get("Date") == "" {
 		// Keep net/http from adding a Date header: traffic between
 		// failure domains is charged by the byte.
 		h["Date"] = nil
 	}
 	body.Write(w, reply)
+	upload.EndReply(w)
 }
 
 // fleetServer implements the drpc Fleet service with a MeshHandler.
