--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -44,7 +44,7 @@
 	// response is returned.
 	Whole int
 	// Matches reports whether a response belongs to the request. Other responses are
-	// skipped.
+	// skipped. If it is nil, all belong.
 	Matches func(req *Request, h http.Header) bool
 	// Key identifies a request that may be sent again after a response for which IsRefusal is true: one
 	// that says that the request was not executed. Both may be nil.
@@ -457,7 +457,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if p.options.Matches(req, resp.Header) {
+		if p.options.Matches == nil || p.options.Matches(req, resp.Header) {
 			return resp, nil
 		}
 		if resp.Close {
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -59,7 +59,6 @@
 			IdlePerAddress: meshMaxIdlePerPeer,
 			Silence:        meshAckTimeout,
 			Whole:          body.WholeBytes,
-			Matches:        func(*hops.Request, http.Header) bool { return true },
 		}),
 		controlPool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  controlIdleTimeout,
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -52,7 +52,7 @@
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s),
-		fx.Provide(timer.NewReal, newLog, newMeter, newChecker, newLinks, newListeners, newConfigured, newUpstreamClient, newNode),
+		fx.Provide(timer.NewReal, newLog, newMeter, newChecker, newLinks, newListeners, newConfigured, newUpstreamClient, newKeys, newNode),
 		fx.Invoke(serve),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(stopLimit+startTimeout),
@@ -145,7 +145,13 @@
 	return u
 }
 
-func newNode(s *conf.Settings, clock timer.Service, links *peer.Links, u *httpx.Upstream, l event.Log, m *meter.Meter, checks *invar.Checker, c configured) *node.Node {
+func newKeys(lc fx.Lifecycle, s *conf.Settings, clock timer.Service) *platform.Keys {
+	keys := platform.NewKeys(s.Platform.URL, time.Duration(s.Platform.TimeoutMs)*time.Millisecond)
+	lc.Append(fx.StartStopHook(func() { timer.Every(clock, sweepInterval, keys.Sweep) }, keys.Close))
+	return keys
+}
+
+func newNode(s *conf.Settings, clock timer.Service, links *peer.Links, u *httpx.Upstream, keys *platform.Keys, l event.Log, m *meter.Meter, checks *invar.Checker, c configured) *node.Node {
 	seeds := make([]world.Address, 0, len(s.Fleet.Seeds))
 	for _, seed := range s.Fleet.Seeds {
 		seeds = append(seeds, world.Address(seed))
@@ -169,7 +175,7 @@
 		Tokens:     newToken,
 		Links:      links,
 		Upstream:   u,
-		Platform:   platform.NewKeys(s.Platform.URL, time.Duration(s.Platform.TimeoutMs)*time.Millisecond),
+		Platform:   keys,
 		Metrics:    m,
 		Events:     l,
 		Checks:     checks,
--- a/io/proc/sidecar.go
+++ b/io/proc/sidecar.go
@@ -102,8 +102,10 @@
 	return links
 }
 
-func newStore(s *conf.Sidecar) *platform.Store {
-	return platform.NewStore(s.Platform.Address, storeTimeout)
+func newStore(lc fx.Lifecycle, s *conf.Sidecar) *platform.Store {
+	objects := platform.NewStore(s.Platform.Address, storeTimeout)
+	lc.Append(fx.StopHook(objects.Close))
+	return objects
 }
 
 // upstreamClient is the client of the upstream and its connection pool.
@@ -236,6 +238,7 @@
 			timer.Every(clock, sweepInterval, func() {
 				u.pool.Sweep()
 				links.Sweep()
+				objects.Sweep()
 			})
 			settingsReloader.start(clock)
 			return err
--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -66,7 +66,7 @@
 plant crossed-reply-taken io/peer/forward.go 's/if world.RequestID(meta.GetRequestId()) != id {/if false {/' TestReplyToAnotherRequest
 plant cut-answer-taken io/peer/forward.go 's/done(nil, nil, errors.Wrap(world.ErrBroken, err.Error()))/done(resp, body, nil)/' TestTruncatedResponses
 plant transport-repeats io/peer/forward.go 's/^\treq.Body = OnceBody.*/\treq.Body = http.NoBody/' TestNothingIsRepeated
-plant copies-taken io/hops/hops.go 's/if p.options.Matches(req, resp.Header) {/if true {/' TestDuplicateResponsesAreSkipped
+plant copies-taken io/hops/hops.go 's/if p.options.Matches == nil || p.options.Matches(req, resp.Header) {/if true {/' TestDuplicateResponsesAreSkipped
 plant suspension-unseen core/timer/timer.go 's/r.monotonicClock() + time.Duration(r.suspended.Load())/r.monotonicClock()/' TestSuspendedTimeCounts
 plant unknown-age-is-new core/mesh/follow.go 's/^\t\treturn unknownTableAge$/\t\treturn n.Clock.Now()/' TestTableOfUnknownAge
 plant lost-updates-stay-lost core/fleet/exchange.go 's/^\t\tv.scheduleResyncLocked(m)$/\t\t_ = m/' TestFleetConvergesAfterFaults
