peer: answers of nodes are read like those of upstreams

On the older path between nodes a response without length whose connection was reset during the request passed for whole, and responses with an invalid head passed.

The pool sends each request once by itself, so the body that net/http could not resend is gone; TestNothingIsRepeated holds that as before, and its mutation in scripts/planted.sh is one of the pool. closingTransport in the tests wraps any transport now and checks the same.

TestResetDuringARequest and TestInvalidResponses failed before.

--- a/io/peer/control.go
+++ b/io/peer/control.go
@@ -19,13 +19,14 @@
 	"wagtailyoke/core/timer"
 	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
+	"wagtailyoke/io/hops"
 )
 
 // Links implements node.Links over sockets.
 type Links struct {
 	clock       timer.Service
 	secret      string
-	transport   *http.Transport
+	transport   *hops.Pool
 	controlPool *drpcpool.Pool[string, drpcpool.Conn]
 }
 
@@ -51,9 +52,12 @@
 	}
 }
 
+// Sweep closes the idle connections for calls that have expired.
+func (l *Links) Sweep() { l.transport.Sweep() }
+
 // Close closes all idle connections.
 func (l *Links) Close() error {
-	l.transport.CloseIdleConnections()
+	l.transport.Close()
 	return errors.Wrap(l.controlPool.Close(), "control connections")
 }
 
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -10,11 +10,11 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/base64"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,45 +36,22 @@
 	headerReply  = "Wagtailyoke-Reply"
 )
 
-const dialTimeout = 500 * time.Millisecond
+const (
+	dialTimeout = 500 * time.Millisecond
+	// forwardIdleTimeout is how long an idle connection for calls stays open.
+	forwardIdleTimeout = time.Minute
+)
 
 // MaxBodyBytes is the maximum size of a request or response body.
 const MaxBodyBytes = 1 << 20
 
 // NewTransport returns an HTTP transport that keeps up to idlePerHost idle connections
-// per host. Decompression is disabled, since bodies pass through unchanged.
-func NewTransport(idlePerHost int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, errors.Wrap(world.ErrNotSent, err.Error())
-			}
-			return conn, nil
-		},
-		MaxIdleConns:        4 * idlePerHost,
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-		// The transport's default limit of 10 MiB would allow an endless head to fill
-		// that much memory.
-		MaxResponseHeaderBytes: hops.MaxHeadBytes,
-	}
-}
-
-// onceBody hides the type of a body. http.Transport may resend a request if it can
-// rewind the body or if there is none. A resent call would bypass the retry budget and
+// per host. It sends each request once: a resent call would bypass the retry budget and
 // could run twice.
-type onceBody struct {
-	io.Reader
+func NewTransport(idlePerHost int) *hops.Pool {
+	return hops.New(hops.Options{Dial: dialTimeout, Idle: forwardIdleTimeout, IdlePerAddress: idlePerHost, Whole: body.WholeBytes})
 }
 
-func (onceBody) Close() error { return nil }
-
-// OnceBody returns a body that http.Transport cannot resend.
-func OnceBody(r io.Reader) io.ReadCloser { return onceBody{r} }
-
 // RoundTrip sends a request in a new goroutine and reads the complete response. A
 // response that is truncated or longer than MaxBodyBytes is an error.
 func RoundTrip(t http.RoundTripper, req *http.Request, done func(*http.Response, []byte, error)) (cancel func()) {
@@ -124,14 +101,13 @@
 }
 
 func (l *Links) newForward(to world.Address, c *world.Call) (*http.Request, error) {
-	req, err := http.NewRequest(c.Method, "http://"+string(to)+c.Path, nil)
+	req, err := http.NewRequest(c.Method, "http://"+string(to)+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "create forwarded request")
 	}
 	if c.Header != nil {
 		req.Header = c.Header.Clone()
 	}
-	SetBody(req, c.Body)
 	meta, err := proto.Marshal(newCallMeta(c, l.clock))
 	if err != nil {
 		return nil, errors.Wrap(err, "encode call metadata")
@@ -141,28 +117,6 @@
 	return req, nil
 }
 
-// SetBody sets a request body that the transport cannot resend.
-func SetBody(req *http.Request, body []byte) {
-	req.Body = OnceBody(&sliceReader{data: body})
-	req.ContentLength = int64(len(body))
-	if len(body) == 0 {
-		// With an unknown length the transport reads ahead, finds the body empty and
-		// sends none.
-		req.ContentLength = -1
-	}
-}
-
-type sliceReader struct{ data []byte }
-
-func (s *sliceReader) Read(p []byte) (int, error) {
-	if len(s.data) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(p, s.data)
-	s.data = s.data[n:]
-	return n, nil
-}
-
 func newCallMeta(c *world.Call, clock timer.Service) *wire.CallMeta {
 	return &wire.CallMeta{
 		RequestId:   string(c.ID),
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/base64"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -60,10 +62,9 @@
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func roundTrip(c *qt.C, t http.RoundTripper, method, address string, body []byte) ([]byte, error) {
-	req, err := http.NewRequest(method, "http://"+address+"/x", nil)
+	req, err := http.NewRequest(method, "http://"+address+"/x", bytes.NewReader(body))
 	c.Assert(err, qt.IsNil)
 	req.Header.Set("Idempotency-Key", "k")
-	peer.SetBody(req, body)
 	type result struct {
 		body []byte
 		err  error
@@ -74,8 +75,8 @@
 	return r.body, r.err
 }
 
-// TestNothingIsRepeated checks that no request is sent twice. http.Transport resends a
-// request that it takes for repeatable if a reused connection closes.
+// TestNothingIsRepeated checks that no request is sent twice, also if a reused connection
+// closes.
 func TestNothingIsRepeated(t *testing.T) {
 	c := qt.New(t)
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
@@ -104,20 +105,57 @@
 		results := make(chan error, 1)
 		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
 		c.Assert(err, qt.IsNil)
-		peer.SetBody(req, nil)
 		conn := &closingTransport{l}
 		peer.RoundTrip(conn, req, func(_ *http.Response, _ []byte, err error) { results <- err })
 		c.Assert(errors.Is(<-results, world.ErrBroken), qt.IsTrue, qt.Commentf("%q", answer))
 	}
 }
 
+// TestResetDuringARequest answers early and resets the connection while the request is being sent.
+func TestResetDuringARequest(t *testing.T) {
+	const runs = 100
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	for range runs {
+		_, err := roundTrip(c, peer.NewTransport(1), http.MethodPost, l.Addr().String(), make([]byte, peer.MaxBodyBytes))
+		c.Assert(errors.Is(err, world.ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
+func TestInvalidResponses(t *testing.T) {
+	c := qt.New(t)
+	for _, answer := range []string{
+		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	} {
+		address, _ := rawServer(c, answer, "")
+		_, err := roundTrip(c, peer.NewTransport(1), http.MethodPost, address, nil)
+		c.Assert(errors.Is(err, world.ErrBroken), qt.IsTrue, qt.Commentf("%q: %v", answer, err))
+	}
+}
+
 // closingTransport cancels the request after 300 ms, which truncates the response.
-type closingTransport struct{ *http.Transport }
+type closingTransport struct{ http.RoundTripper }
 
 func (t *closingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(req.Context(), 300*time.Millisecond)
 	context.AfterFunc(ctx, cancel)
-	return t.Transport.RoundTrip(req.WithContext(ctx))
+	return t.RoundTripper.RoundTrip(req.WithContext(ctx))
 }
 
 func TestNotSent(t *testing.T) {
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -98,7 +98,7 @@
 
 func newLinks(lc fx.Lifecycle, clock timer.Service, s *conf.Settings) *peer.Links {
 	links := peer.NewLinks(clock, s.Fleet.Secret)
-	lc.Append(fx.StopHook(links.Close))
+	lc.Append(fx.StartStopHook(func() { timer.Every(clock, sweepInterval, links.Sweep) }, links.Close))
 	return links
 }
 
--- a/scripts/planted.sh
+++ b/scripts/planted.sh
@@ -17,7 +17,7 @@
   if ! (cd "$copy/tree" && go vet "./$(dirname "$2")") >"$copy/out" 2>&1; then echo "$1: does not build"; cat "$copy/out"; unseen=1; return; fi
   # Seeds that test only leader terms run quickly, so use more of them.
   case $4 in TestOneHolder) seeds=${TERM_SEEDS:-400} ;; *) seeds=${SEEDS:-20} ;; esac
-  if (cd "$copy/tree" && WAGTAILYOKE_SOAK=1 WAGTAILYOKE_SEEDS=$seeds go test -count=1 -run "$4" ./core/... ./io/peer ./io/hops) >"$copy/out" 2>&1; then
+  if (cd "$copy/tree" && WAGTAILYOKE_SOAK=1 WAGTAILYOKE_SEEDS=$seeds go test -count=1 -run "$4" ./core/... ./io/peer ./io/hops ./io/body) >"$copy/out" 2>&1; then
     echo "$1: NOT SEEN by $4"
     unseen=1
   else
@@ -65,7 +65,10 @@
 plant floor-not-surrendered core/quota/reserved.go 's/if s.acknowledged \&\& now < end {/if true {/; s/start := r.lastReply + shareReleaseTTL + r.lease/start := r.lastReply/' "TestAllLeaders|$chaos"
 plant crossed-reply-taken io/peer/forward.go 's/if world.RequestID(meta.GetRequestId()) != id {/if false {/' TestReplyToAnotherRequest
 plant cut-answer-taken io/peer/forward.go 's/done(nil, nil, errors.Wrap(world.ErrBroken, err.Error()))/done(resp, body, nil)/' TestTruncatedResponses
-plant transport-repeats io/peer/forward.go 's/^\treq.Body = OnceBody.*/\treq.Body = http.NoBody/' TestNothingIsRepeated
+plant transport-repeats io/hops/hops.go 's/^\tresp, err := p.exchange(c, to, req)$/&\n\tif err != nil {\n\t\t_ = to.Close()\n\t\tif to, err = p.dial(req.Address); err == nil {\n\t\t\tresp, err = p.exchange(c, to, req)\n\t\t}\n\t}/' TestNothingIsRepeated
+plant reset-is-the-end io/hops/reset.go 's/if writeErr := c.finishWrite(); writeErr != nil {/if writeErr := c.finishWrite(); writeErr != nil \&\& c == nil {/' 'TestResetSeen'
+plant names-unchecked io/hops/head.go 's/if !httpguts.ValidHeaderFieldName(string(name)) {/if false {/' TestFieldNames
+plant upload-shared io/body/upload.go 's/if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {/if err := error(nil); err != nil {/' TestEarlyAnswerLeaves
 plant copies-taken io/hops/hops.go 's/if p.options.Matches == nil || p.options.Matches(req, resp.Header) {/if true {/' TestDuplicateResponsesAreSkipped
 plant suspension-unseen core/timer/timer.go 's/r.monotonicClock() + time.Duration(r.suspended.Load())/r.monotonicClock()/' TestSuspendedTimeCounts
 plant unknown-age-is-new core/mesh/follow.go 's/^\t\treturn unknownTableAge$/\t\treturn n.Clock.Now()/' TestTableOfUnknownAge
