peer: test a response that is cut after its buffered part

The mutation cut-answer-taken was no longer seen, because hops.Pool notices a cut in the first 128 KiB by itself. The new case is cut beyond them.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,6 +97,7 @@
 	c := qt.New(t)
 	for _, answer := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("part", 50<<10),
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Le",
 		"",
