httpx: a broken answer resets callers of HTTP/1.0

A caller of HTTP/1.0 took an answer that the node broke off for a complete one.

Cause: an answer without length ends with its connection for such a caller, and net/http closes an aborted connection in good order. Callers of HTTP/1.1 get chunks, with and without Connection: close, and miss the last one.

Change: the connection of a caller of HTTP/1.0 whose answer is aborted is reset.

TestAbortedAnswerDoesNotLookComplete: the cases of HTTP/1.0 without a length failed before, those of HTTP/1.1 passed.

--- a/io/httpx/mesh.go
+++ b/io/httpx/mesh.go
@@ -1,6 +1,7 @@
 package httpx
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/gin-gonic/gin"
@@ -35,7 +36,10 @@
 	f := &meshFront{node: n, dialect: dialect}
 	engine.NoRoute(f.handle)
 	engine.NoMethod(f.handle)
-	return engine
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer resetIfAborted(w, r)
+		engine.ServeHTTP(w, r)
+	})
 }
 
 type meshFront struct {
@@ -93,3 +97,22 @@
 	}
 	upload.EndReply(w)
 }
+
+// resetIfAborted resets the connection of a caller of HTTP/1.0 whose reply is aborted. A reply in chunks shows that it
+// has no end; one of HTTP/1.0 ends with its connection, and a regular close would make it look complete.
+func resetIfAborted(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return
+	}
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	panic(reason)
+}
