body: a streamed answer counts until its end is sent

A node that stops could end its process while a caller still waited for the last chunk of an early answer: the answer counted as ended before the rest of the upload was read, for up to 500 ms, and net/http sends the last chunk after that. Found by reading.

Change: the reply's body is closed last, so that a stopping node waits for it. Write begins and ends the reply of an upload itself.

--- a/io/body/body.go
+++ b/io/body/body.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	data, upload, length, err := body.Read(w, r)
-//	err := body.Write(w, reply)
+//	body.Write(w, reply, upload)
 package body
 
 import (
@@ -39,8 +39,10 @@
 
 // Write writes the status and body of a reply; the caller has set the other headers. If
 // the rest of the body cannot be read, it panics with http.ErrAbortHandler, which closes
-// the connection, so that the client does not take the response for complete.
-func Write(w http.ResponseWriter, r *world.Reply) {
+// the connection, so that the client does not take the response for complete. The reply's
+// Rest is closed after what is left of the upload has been read: net/http sends the end of
+// a reply in chunks only then.
+func Write(w http.ResponseWriter, r *world.Reply, upload *Upload) {
 	h := w.Header()
 	switch {
 	case r.Rest == nil:
@@ -50,15 +52,16 @@
 	default:
 		h.Del("Content-Length")
 	}
+	upload.BeginReply(h)
 	w.WriteHeader(r.Status)
 	_, _ = w.Write(r.Body)
-	if r.Rest == nil {
-		return
-	}
-	defer func() { _ = r.Rest.Close() }()
-	if _, err := io.Copy(w, r.Rest); err != nil {
-		panic(http.ErrAbortHandler)
+	if r.Rest != nil {
+		defer func() { _ = r.Rest.Close() }()
+		if _, err := io.Copy(w, r.Rest); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 	}
+	upload.EndReply(w)
 }
 
 // hopByHopHeaders are the headers that apply to a single connection.
--- a/io/body/body_test.go
+++ b/io/body/body_test.go
@@ -73,7 +73,7 @@
 					_, _ = io.WriteString(out, " end")
 					_ = out.Close()
 				}()
-				body.Write(w, &world.Reply{Status: http.StatusOK, Header: http.Header{}, Body: begin, Rest: answer, Length: -1})
+				body.Write(w, &world.Reply{Status: http.StatusOK, Header: http.Header{}, Body: begin, Rest: answer, Length: -1}, upload)
 			}))
 			defer server.Close()
 			req, err := http.NewRequest(http.MethodPost, server.URL, &parts{left: want})
@@ -105,9 +105,7 @@
 			go func() { _, _ = io.Copy(io.Discard, rest) }()
 			time.Sleep(20 * time.Millisecond)
 		}
-		upload.BeginReply(w.Header())
-		body.Write(w, &world.Reply{Status: http.StatusOK, Header: http.Header{}, Body: replyBody})
-		upload.EndReply(w)
+		body.Write(w, &world.Reply{Status: http.StatusOK, Header: http.Header{}, Body: replyBody}, upload)
 	}))
 	c.Cleanup(server.Close)
 	return server.Listener.Addr().String(), seen
--- a/io/httpx/mesh.go
+++ b/io/httpx/mesh.go
@@ -88,13 +88,13 @@
 	if f.node.IsStopping() {
 		h.Set("Connection", "close")
 	}
-	upload.BeginReply(h)
-	if r.IsRefusal() {
-		f.dialect.DressRefusal(h, id, r)
-		writeProblemBody(w, r)
-	} else {
-		body.Write(w, r)
+	if !r.IsRefusal() {
+		body.Write(w, r, upload)
+		return
 	}
+	upload.BeginReply(h)
+	f.dialect.DressRefusal(h, id, r)
+	writeProblemBody(w, r)
 	upload.EndReply(w)
 }
 
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -277,14 +277,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	body.DropHopHeaders(h)
-	upload.BeginReply(h)
 	if h.Get("Date") == "" {
 		// Keep net/http from adding a Date header: traffic between
 		// failure domains is charged by the byte.
 		h["Date"] = nil
 	}
-	body.Write(w, reply)
-	upload.EndReply(w)
+	body.Write(w, reply, upload)
 }
 
 // fleetServer implements the drpc Fleet service with a MeshHandler.
