--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -1,12 +1,14 @@
 // Package hops is an HTTP/1.1 client with a connection pool that matches each response to
 // its request. net/http's client may resend a request and accepts the first response on the
 // connection. This client sends each request once, reports whether any byte of it was sent,
-// and skips responses that belong to other requests.
+// and skips responses that belong to other requests. A response that was reset, or that
+// net/http accepts although it is not valid HTTP/1.1, is an error.
 //
 // # Usage
 //
 //	pool := hops.New(hops.Options{Dial: 300 * time.Millisecond, Matches: isResponseTo})
 //	cancel := pool.Do(hops.Request{Address: ..., Method: ...}, func(r *hops.Response, err error) { ... })
+//	client := &http.Client{Transport: pool}
 //
 // Messages are encoded and parsed with net/http.
 package hops
--- a/io/httpx/mesh.go
+++ b/io/httpx/mesh.go
@@ -82,7 +82,7 @@
 		for name, values := range r.Header {
 			h[name] = values
 		}
-		// Those of another node are for the connection to it.
+		// Hop-by-hop fields of another node's reply are for the connection to that node.
 		body.DropHopHeaders(h)
 	}
 	if f.node.IsStopping() {
