--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -72,8 +72,12 @@
 	}
 	results := make(chan result, 1)
 	peer.RoundTrip(t, req, func(_ *http.Response, body []byte, err error) { results <- result{body, err} })
-	r := <-results
-	return r.body, r.err
+	select {
+	case r := <-results:
+		return r.body, r.err
+	case <-time.After(5 * time.Second):
+		return nil, errors.New("call did not end within 5 s")
+	}
 }
 
 // TestNothingIsRepeated checks that no request is sent twice, also if a reused connection
