hops: a folded line in a trailer breaks its response

The trailer itself is not passed on.

Cause: the trailer was checked after net/http had read it and joined such a line to the field before it.

Change: the trailer is read by the client itself after net/http's chunks, with the check of the head for each line, up to MaxHeadBytes. It works because no line is joined before it is checked.

Two cases of TestTrailersAreValid failed before: a blank before a name, in the response and in one to another request.

--- a/io/hops/head.go
+++ b/io/hops/head.go
@@ -1,9 +1,11 @@
 package hops
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"strings"
 
@@ -72,14 +74,17 @@
 	hasBody bool
 }
 
-// addField checks the name of a field. Such a field would be dropped, or read in another way by the next client:
-// net/http does not see a length in "Content-Length : 5". A folded line has no name; a gateway may reject it
-// (RFC 9112, section 5.2).
+// addField checks the name and the value of a field. A name that is no token would be dropped, or read in another way
+// by the next client: net/http does not see a length in "Content-Length : 5". A folded line has no name; a gateway may
+// reject it (RFC 9112, section 5.2).
 func (f *framing) addField(line []byte) error {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	if !httpguts.ValidHeaderFieldName(string(name)) {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon || !httpguts.ValidHeaderFieldName(string(name)) {
 		return errors.Errorf("field name %q of the response is not a token", name)
 	}
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return errors.Errorf("value %q of field %s of the response has control bytes", value, name)
+	}
 	switch {
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		f.hasEncoding = true
@@ -105,23 +110,54 @@
 	return nil
 }
 
-// chunkedBody is a body in chunks with the trailer that follows it.
+// chunkedBody is a body in chunks with the trailer that follows it. net/http would accept a trailer with blanks in and
+// before its names.
 type chunkedBody struct {
-	io.ReadCloser
-	resp *http.Response
+	r      *bufio.Reader
+	chunks io.Reader
+	// err ended the trailer, io.EOF at its regular end.
+	err error
+}
+
+func newChunkedBody(r *bufio.Reader) *chunkedBody {
+	return &chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)}
 }
 
-// Read implements io.Reader. Names of trailer fields are checked like those of the head.
+// Read implements io.Reader.
 func (b *chunkedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != io.EOF {
-		return n, err
+	if b.err != nil {
+		return 0, b.err
 	}
-	for name, values := range b.resp.Trailer {
-		// Fields that were announced and not sent have no values.
-		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
-			return n, errors.Errorf("field name %q of the trailer is not a token", name)
+	n, err := b.chunks.Read(p)
+	if err == io.EOF {
+		err = readTrailer(b.r)
+	}
+	b.err = err
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *chunkedBody) Close() error { return nil }
+
+// readTrailer reads and checks a trailer of at most MaxHeadBytes, and returns io.EOF at its regular end.
+func readTrailer(r *bufio.Reader) error {
+	var f framing
+	for left := MaxHeadBytes; left > 0; {
+		raw, err := r.ReadSlice('\n')
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return errors.Wrap(err, "trailer")
+		}
+		line, _, _ := cutLine(raw)
+		if len(line) == 0 {
+			return io.EOF
+		}
+		if err := f.addField(line); err != nil {
+			return errors.Wrap(err, "trailer")
 		}
+		left -= len(raw)
 	}
-	return n, io.EOF
+	return errors.Wrap(ErrHeadTooLong, "trailer")
 }
--- a/io/hops/head_test.go
+++ b/io/hops/head_test.go
@@ -41,9 +41,12 @@
 func TestFieldNamesAreTokens(t *testing.T) {
 	answers := map[string]string{}
 	for _, field := range []string{
-		"X Bad: 1", "X-Bad : 1", "X-Bad\t: 1", " X-Bad: 1", "\tX-Bad: 1", ": 1", "X-Bad", "X\x00Bad: 1", "X\x01Bad: 1", "X\x7fBad: 1",
+		"X Bad: 1", "X-Bad : 1", " X-Bad: 1", " : 1",
+		"X\tBad: 1", "X-Bad\t: 1", "\tX-Bad: 1", "\t: 1",
+		"X\x00Bad: 1", "X\x01Bad: 1", "X\x1fBad: 1", "X\x7fBad: 1", "\x01X-Bad: 1", "\x00: 1", "X-Bad\x01: 1", "X-Bad\x7f: 1", "X-Bad\r: 1", "\rX-Bad: 1",
+		": 1", "X-Bad",
 		"X\rBad: 1", "X-B\xc3\xa4d: 1", "X(Bad): 1", "X/Bad: 1",
-		"Content-Length : 5", "Content-Length\t: 5", "Transfer-Encoding : chunked", "Content Length: 5",
+		"Content-Length : 5", "Content-Length\t: 5", "Content-Length\x01: 5", "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", "Content Length: 5",
 	} {
 		answers["first "+field] = okLine + field + "\r\n" + idField + "Content-Length: 5\r\n\r\nwhole"
 		answers["last "+field] = okLine + idField + "Content-Length: 5\r\n" + field + "\r\n\r\nwhole"
@@ -51,8 +54,9 @@
 		answers["informational "+field] = "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
 		answers["of another "+field] = okLine + idHeader + ": b\r\nContent-Length: 5\r\n" + field + "\r\n\r\nother" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
 	}
-	answers["folded"] = okLine + idField + "X-Good: 1\r\n X-Bad: 1\r\nContent-Length: 5\r\n\r\nwhole"
-	answers["folded without a name"] = okLine + idField + "X-Good: 1\r\n\t\r\nContent-Length: 5\r\n\r\nwhole"
+	for _, first := range []string{" X-Bad: 1", "\tX-Bad: 1", " ", "\t"} {
+		answers["after a field "+first] = okLine + idField + "X-Good: 1\r\n" + first + "\r\nContent-Length: 5\r\n\r\nwhole"
+	}
 	answers["length with a blank"] = okLine + idField + "Content-Length : 5\r\n\r\nwhole"
 	answers["encoding with a blank"] = okLine + idField + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
 	expectBroken(t, answers)
@@ -85,6 +89,7 @@
 		answers[line] = line + "\r\n" + idField + "Content-Length: 5\r\n\r\nwhole"
 		answers["no body "+line] = line + "\r\n" + idField + "Content-Length: 0\r\n\r\n"
 		answers["no length "+line] = line + "\r\n" + idField + "\r\nwhole"
+		answers["before the answer "+line] = line + "\r\n\r\n" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
 		answers["of another "+line] = line + "\r\n" + idHeader + ": b\r\nContent-Length: 5\r\n\r\nother" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
 	}
 	expectBroken(t, answers)
@@ -149,7 +154,7 @@
 func TestTrailersAreValid(t *testing.T) {
 	const chunks = okLine + idField + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
 	answers := map[string]string{}
-	for _, fields := range []string{"X Bad: 1", "X-Bad : 1", "X\x01Bad: 1", " X-Bad: 1", "X-Bad", ": 1", "X-Bad: \x00"} {
+	for _, fields := range []string{"X Bad: 1", "X-Bad : 1", "X-Bad\t: 1", "X\tBad: 1", "X\x01Bad: 1", "\x01X-Bad: 1", "X-Bad\x7f: 1", " X-Bad: 1", "\tX-Bad: 1", "X-Good: 1\r\n X-Bad: 1", "X-Bad", ": 1", "X-Bad: \x00"} {
 		answers["field "+fields] = chunks + fields + "\r\n\r\n"
 		answers["of another "+fields] = okLine + idHeader + ": b\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields + "\r\n\r\n" + okLine + idField + "Content-Length: 5\r\n\r\nwhole"
 	}
--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -164,8 +164,8 @@
 	if err := checkHead(c.head[:len(c.head)-c.r.Buffered()]); err != nil {
 		return nil, err
 	}
-	if len(resp.TransferEncoding) > 0 {
-		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp}
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+		resp.Body = newChunkedBody(c.r)
 	}
 	return resp, nil
 }
