--- a/io/hops/hops_test.go
+++ b/io/hops/hops_test.go
@@ -280,36 +280,24 @@
 // on the connection for the rest of it.
 func TestShortBodyClosesConnection(t *testing.T) {
 	c := qt.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
 	bodies := make(chan string, 1)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				begin := make([]byte, len("begin end"))
-				n, _ := io.ReadFull(req.Body, begin)
-				_, _ = io.WriteString(conn, answer(req.Header.Get(idHeader), "early"))
-				_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
-				rest, _ := io.ReadAll(req.Body)
-				_ = conn.Close()
-				if req.Method == http.MethodPost {
-					bodies <- string(begin[:n]) + string(rest)
-				}
-			}()
+	address := listenConns(c, func(conn *net.TCPConn) {
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
+		begin := make([]byte, len("begin end"))
+		n, _ := io.ReadFull(req.Body, begin)
+		_, _ = io.WriteString(conn, answer(req.Header.Get(idHeader), "early"))
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		rest, _ := io.ReadAll(req.Body)
+		if req.Method == http.MethodPost {
+			bodies <- string(begin[:n]) + string(rest)
+		}
+	})
 	p := newPool()
-	expectBody(c, post(p, l.Addr().String(), strings.NewReader(" end"), 1<<20), "early")
-	expectBody(c, get(p, l.Addr().String(), "b"), "early")
+	expectBody(c, post(p, address, strings.NewReader(" end"), 1<<20), "early")
+	expectBody(c, get(p, address, "b"), "early")
 	c.Assert(<-bodies, qt.Equals, "begin end")
 }
 
--- a/io/hops/reset_test.go
+++ b/io/hops/reset_test.go
@@ -41,9 +41,8 @@
 	return open
 }
 
-// listenEarly starts a server that answers each request at once with the given bytes, without reading its
-// body, and then passes the connection to end.
-func listenEarly(c *qt.C, answer string, end func(*net.TCPConn)) string {
+// listenConns starts a server that passes each connection to serve and closes it afterwards.
+func listenConns(c *qt.C, serve func(*net.TCPConn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
@@ -55,17 +54,25 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, answer)
-				end(conn.(*net.TCPConn))
+				serve(conn.(*net.TCPConn))
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// listenEarly starts a server that answers each request at once with the given bytes, without reading its
+// body, and then passes the connection to end.
+func listenEarly(c *qt.C, answer string, end func(*net.TCPConn)) string {
+	return listenConns(c, func(conn *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer)
+		end(conn)
+	})
+}
+
 // reset closes a connection so that the peer sees a reset.
 func reset(conn *net.TCPConn) {
 	_ = conn.SetLinger(0)
@@ -247,22 +254,13 @@
 // not count as unsent.
 func TestSentBytesCount(t *testing.T) {
 	c := qt.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(make([]byte, 1))
-			reset(conn.(*net.TCPConn))
-		}
-	}()
+	address := listenConns(c, func(conn *net.TCPConn) {
+		_, _ = conn.Read(make([]byte, 1))
+		reset(conn)
+	})
 	for range 3000 {
 		body := &upload{open: opened()}
-		r := post(newPool(), l.Addr().String(), body, -1)
+		r := post(newPool(), address, body, -1)
 		c.Assert(errors.Is(r.err, world.ErrBroken), qt.IsTrue, qt.Commentf("%v", r.err))
 		body.closed.Store(true)
 	}
