mesh, node: a broken answer has a log line

Operators could not see why a caller got 502: the error of an answer that is missing, cut or invalid was dropped, and so was that of a streamed answer.

Change: event 121 at the upstream's node, with the request's id and the error, on both request paths. A streamed answer that the node itself closes is not logged.

TestBrokenAnswersAreLogged; the line did not exist before.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -28,6 +28,7 @@
 	UpstreamLimited     Number = 118
 	UpstreamUnlimited   Number = 119
 	UpstreamSaysLeaving Number = 120
+	AnswerBroken        Number = 121
 	ConfigInstalled     Number = 200
 	ConfigRejected      Number = 201
 	EvacuationsChanged  Number = 202
@@ -79,6 +80,7 @@
 	UpstreamLimited:     "upstream limits the calls that it takes",
 	UpstreamUnlimited:   "upstream no longer limits the calls that it takes",
 	UpstreamSaysLeaving: "upstream says in an answer that it leaves",
+	AnswerBroken:        "an upstream's answer is missing, not complete or not valid HTTP",
 	EvacuationsChanged:  "the set of evacuated failure domains has changed",
 	ConfigInstalled:     "configuration installed",
 	ConfigRejected:      "configuration object is malformed and was not installed",
--- a/core/mesh/answerbody.go
+++ b/core/mesh/answerbody.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"wagtailyoke/core/world"
 )
@@ -32,3 +33,25 @@
 	r.Rest = &countedBody{ReadCloser: r.Rest, ended: ended}
 	deliver(r)
 }
+
+// watchedBody is the rest of an upstream's answer. It reports the error of a read, unless the body was closed before.
+type watchedBody struct {
+	io.ReadCloser
+	isClosed atomic.Bool
+	failed   func(error)
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF && !b.isClosed.Load() {
+		b.failed(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *watchedBody) Close() error {
+	b.isClosed.Store(true)
+	return b.ReadCloser.Close()
+}
--- a/core/mesh/execution.go
+++ b/core/mesh/execution.go
@@ -127,6 +127,8 @@
 		if errors.Is(err, world.ErrNotSent) {
 			run = world.RunNo
 			e.handleConnectFailure(err)
+		} else if !e.hasEnded() {
+			e.logBrokenAnswer(instance, err)
 		}
 		if e.end(world.Refuse(http.StatusBadGateway, world.CodeUpstreamFailed, run, 0), false) {
 			e.n.probeUpstream(e.generation)
@@ -142,9 +144,17 @@
 	if reply.Code == world.CodeUpstreamShed {
 		e.n.queue.CountShed()
 	}
+	if reply.Rest != nil {
+		reply.Rest = &watchedBody{ReadCloser: reply.Rest, failed: func(err error) { e.logBrokenAnswer(instance, err) }}
+	}
 	e.end(reply, reply.IsSuccess())
 }
 
+func (e *execution) logBrokenAnswer(instance world.InstanceID, err error) {
+	e.n.Events.Log(event.AnswerBroken, event.Field{Name: "id", Value: e.call.ID}, event.Field{Name: "route", Value: e.call.Route},
+		event.Field{Name: "instance", Value: instance}, event.Field{Name: "error", Value: err.Error()})
+}
+
 func (e *execution) hasEnded() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/core/mesh/stream_test.go
+++ b/core/mesh/stream_test.go
@@ -92,3 +92,48 @@
 		c.Assert(len(ended), qt.Equals, stopping, qt.Commentf("isEntry=%v", isEntry))
 	}
 }
+
+// brokenRest is the rest of an answer that the upstream breaks off.
+type brokenRest struct{ endlessRest }
+
+func (b *brokenRest) Read([]byte) (int, error) {
+	if b.closed > 0 {
+		return 0, io.ErrClosedPipe
+	}
+	return 0, io.ErrUnexpectedEOF
+}
+
+// TestBrokenAnswersAreLogged breaks answers off before and after they have begun. An answer that the node itself
+// gives up is not logged.
+func TestBrokenAnswersAreLogged(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSite(c, 52)
+	for _, v := range s.nodes {
+		v.up.streams = func() io.ReadCloser { return &brokenRest{} }
+	}
+	s.run(3 * time.Second)
+	serve := func(id string) (reply *world.Reply) {
+		s.nodes[0].node.Serve(mesh.Incoming{
+			Call:     world.Call{ID: world.RequestID(id), Method: "POST", Path: "/bin/1", Host: "site"},
+			PathOnly: "/bin/1", Key: key, HasKey: true, Timeout: 2 * time.Second,
+		}, func(r *world.Reply) { reply = r })
+		s.run(700 * time.Millisecond)
+		c.Assert(reply, qt.IsNotNil)
+		return reply
+	}
+	closed := serve("closed")
+	c.Assert(closed.Rest.Close(), qt.IsNil)
+	_, err := closed.Rest.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.ErrClosedPipe)
+	c.Assert(s.events.counts[event.AnswerBroken], qt.Equals, 0)
+	cut := serve("cut")
+	_, err = cut.Rest.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+	c.Assert(cut.Rest.Close(), qt.IsNil)
+	c.Assert(s.events.counts[event.AnswerBroken], qt.Equals, 1)
+	for _, v := range s.nodes {
+		v.up.loses = true
+	}
+	serve("lost")
+	c.Assert(s.events.counts[event.AnswerBroken] > 1, qt.IsTrue)
+}
--- a/core/node/execution.go
+++ b/core/node/execution.go
@@ -179,6 +179,10 @@
 	if err != nil {
 		if !e.isOver() {
 			e.n.handleBrokenConnection(e, err)
+			if !errors.Is(err, world.ErrNotSent) {
+				e.n.Events.Log(event.AnswerBroken, event.Field{Name: "id", Value: e.call.ID}, event.Field{Name: "route", Value: e.call.Route},
+					event.Field{Name: "error", Value: err.Error()})
+			}
 		}
 		e.end(e.brokenReply(err), admit.Sample{Ignore: true}, false)
 		return
