--- a/io/body/body_test.go
+++ b/io/body/body_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -178,3 +179,54 @@
 		c.Assert(resp.Close, qt.IsFalse, qt.Commentf("upload of %d bytes", size))
 	}
 }
+
+// closeRecorder is the rest of a reply. It records how much of the upload had been read when it was closed.
+type closeRecorder struct {
+	io.Reader
+	read        *atomic.Int64
+	readAtClose int64
+}
+
+// Close implements io.Closer.
+func (r *closeRecorder) Close() error {
+	r.readAtClose = r.read.Load()
+	return nil
+}
+
+// countedUpload counts the bytes read of a request's body.
+type countedUpload struct {
+	io.ReadCloser
+	read *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (u countedUpload) Read(p []byte) (int, error) {
+	n, err := u.ReadCloser.Read(p)
+	u.read.Add(int64(n))
+	return n, err
+}
+
+// TestStreamedReplyIsClosedLast replies before the end of an upload. A node that stops waits until the reply's rest
+// is closed; the end of the reply must have been sent by then.
+func TestStreamedReplyIsClosedLast(t *testing.T) {
+	const size = 300 << 10
+	c := qt.New(t)
+	read := &atomic.Int64{}
+	rest := &closeRecorder{Reader: strings.NewReader("rest"), read: read}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = countedUpload{r.Body, read}
+		_, upload, _, err := body.Read(w, r)
+		c.Check(err, qt.IsNil)
+		body.Write(w, &world.Reply{Status: http.StatusOK, Header: http.Header{}, Rest: rest, Length: -1}, upload)
+	}))
+	req, err := http.NewRequest(http.MethodPost, server.URL, &parts{left: numbered(size)})
+	c.Assert(err, qt.IsNil)
+	req.ContentLength = size
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	got, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, "rest")
+	server.Close()
+	c.Assert(rest.readAtClose, qt.Equals, int64(size))
+}
--- a/io/httpx/upstream_test.go
+++ b/io/httpx/upstream_test.go
@@ -94,6 +94,26 @@
 	}
 }
 
+// TestBrokenAnswersAreNone sends answers that are not whole or not valid HTTP.
+func TestBrokenAnswersAreNone(t *testing.T) {
+	c := qt.New(t)
+	const ok = "HTTP/1.1 200 OK\r\n"
+	length := "Content-Length: 5\r\n"
+	clock := timer.NewReal()
+	for _, answer := range []string{
+		"HTTP/1.1 000 OK\r\n" + length + "\r\nwhole", "HTTP/1.1 999 OK\r\n" + length + "\r\nwhole", "HTTP/2.0 200 OK\r\n" + length + "\r\nwhole",
+		ok + length + "X Bad: 1\r\n\r\nwhole", ok + length + "X-Bad\t: 1\r\n\r\nwhole", ok + length + "X\x01Bad: 1\r\n\r\nwhole",
+		ok + "Content-Length : 5\r\n\r\nwhole", ok + "Content-Length: 9\r\n\r\nwhole",
+		ok + length + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+	} {
+		got := do(httpx.NewUpstream(listen(c, func(string) (string, bool) { return answer, true }), clock), clock, "a")
+		c.Assert(got.err, qt.IsNotNil, qt.Commentf("%q: %+v", answer, got.reply))
+	}
+	got := do(httpx.NewUpstream(listen(c, func(string) (string, bool) { return ok + "\r\nwhole", true }), clock), clock, "a")
+	c.Assert(got.err, qt.IsNil)
+	c.Assert(string(got.reply.Body), qt.Equals, "whole")
+}
+
 func TestUpstreamsNoticeIsRead(t *testing.T) {
 	c := qt.New(t)
 	address := listen(c, func(id string) (string, bool) {
