hops: errors of broken responses are short

Event 121 logs the error of a broken answer, and net/http and the checks of heads quote the line that is wrong, up to 64 KiB of it. Texts end after 200 bytes; values of fields are not quoted by the checks.

TestErrorsOfBrokenResponsesAreShort failed before, with a text of over 20 KiB.

--- a/io/hops/head.go
+++ b/io/hops/head.go
@@ -83,7 +83,7 @@
 		return errors.Errorf("field name %q of the response is not a token", name)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
-		return errors.Errorf("value %q of field %s of the response has control bytes", value, name)
+		return errors.Errorf("value of field %q of the response has control bytes", name)
 	}
 	switch {
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
--- a/io/hops/head_test.go
+++ b/io/hops/head_test.go
@@ -169,3 +169,14 @@
 	_, err := readAll(r)
 	c.Assert(err, qt.IsNotNil)
 }
+
+// TestErrorsOfBrokenResponsesAreShort checks the texts of errors, which are logged.
+func TestErrorsOfBrokenResponsesAreShort(t *testing.T) {
+	c := qt.New(t)
+	long := strings.Repeat("p", 20<<10)
+	for _, fields := range []string{long, long + " : 1", "X-Bad: \x01" + long, "Content-Length: " + long} {
+		r := get(newPool(), listenAndCut(c, okLine+idField+fields+"\r\n\r\n"), "a")
+		c.Assert(errors.Is(r.err, world.ErrBroken), qt.IsTrue)
+		c.Assert(len(r.err.Error()) < 300, qt.IsTrue, qt.Commentf("%d bytes", len(r.err.Error())))
+	}
+}
--- a/io/hops/hops.go
+++ b/io/hops/hops.go
@@ -86,6 +86,8 @@
 	maxSkippedBodyBytes = 1 << 20
 	// maxRefusedPerConn is the number of refused requests after which a connection is closed.
 	maxRefusedPerConn = 64
+	// maxErrorBytes bounds the text of an error, which is logged.
+	maxErrorBytes = 200
 	// MaxHeadBytes bounds the status line and headers of a response. Servers usually send
 	// a few KiB, and each call in progress may buffer up to this limit.
 	MaxHeadBytes = 64 << 10
@@ -233,13 +235,21 @@
 		_ = to.Close()
 		// The connection is closed, so that a write in progress ends and no other one begins.
 		if to.hasSent() {
-			return nil, errors.Wrap(world.ErrBroken, err.Error())
+			return nil, errors.Wrap(world.ErrBroken, shorten(err.Error()))
 		}
 		return nil, errors.Wrap(world.ErrNotSent, err.Error())
 	}
 	return resp, nil
 }
 
+// shorten bounds the text of an error, which may quote a whole response head.
+func shorten(text string) string {
+	if len(text) <= maxErrorBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+}
+
 // getConn returns an idle connection that is still usable for a request, or a new one.
 func (p *Pool) getConn(req *Request) (*conn, error) {
 	for {
