--- a/io/httpx/mesh.go
+++ b/io/httpx/mesh.go
@@ -78,24 +78,27 @@
 
 func (f *meshFront) write(w http.ResponseWriter, id world.RequestID, r *world.Reply, upload *body.Upload) {
 	h := w.Header()
-	if !r.IsRefusal() {
-		for name, values := range r.Header {
-			h[name] = values
-		}
-		// Hop-by-hop fields of another node's reply are for the connection to that node.
-		body.DropHopHeaders(h)
+	if r.IsRefusal() {
+		f.closeIfStopping(h)
+		upload.BeginReply(h)
+		f.dialect.DressRefusal(h, id, r)
+		writeProblemBody(w, r)
+		upload.EndReply(w)
+		return
 	}
+	for name, values := range r.Header {
+		h[name] = values
+	}
+	// Hop-by-hop fields of another node's reply are for the connection to that node.
+	body.DropHopHeaders(h)
+	f.closeIfStopping(h)
+	body.Write(w, r, upload)
+}
+
+func (f *meshFront) closeIfStopping(h http.Header) {
 	if f.node.IsStopping() {
 		h.Set("Connection", "close")
 	}
-	if !r.IsRefusal() {
-		body.Write(w, r, upload)
-		return
-	}
-	upload.BeginReply(h)
-	f.dialect.DressRefusal(h, id, r)
-	writeProblemBody(w, r)
-	upload.EndReply(w)
 }
 
 // resetIfAborted resets the connection of a caller of HTTP/1.0 whose reply is aborted. A reply in chunks shows that it
