review: case 14, an endpoint that becomes cold again gets its usual share

Cause: the gate of a cold upstream is closed by a heartbeat or a sign of a restart only, so an upstream that becomes cold while it serves gets its usual share until its next heartbeat.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -36,6 +36,7 @@
 	"evacuation": evacuation,
 	"revoke":     revoke,
 	"departure":  departure,
+	"cold":       cold,
 }
 
 var (
@@ -130,12 +131,20 @@
 
 // Bounds of the site file shifted/tpcw-mesh-now-grown.toml.
 const (
-	drainTime     = 2500 * time.Millisecond
-	configTime    = 2500 * time.Millisecond
-	evacuateTime  = 5 * time.Second
-	stableWindow  = 3 * time.Second
-	settleTime    = 8 * time.Second
-	trafficGap    = 20 * time.Millisecond
+	drainTime    = 2500 * time.Millisecond
+	configTime   = 2500 * time.Millisecond
+	evacuateTime = 5 * time.Second
+	stableWindow = 3 * time.Second
+	coldRate     = 7.7
+	coldOverage  = 1.5
+	coldSlack    = 8
+	// crashRate is the number of requests in a second, well above coldRate, at which a cold endpoint crashes.
+	crashRate  = 30
+	coldTime   = 3 * time.Second
+	settleTime = 8 * time.Second
+	trafficGap = 20 * time.Millisecond
+	// gateGap gives each of the three endpoints of yardgate the share of the site: 223 requests a second for five.
+	gateGap       = 7 * time.Millisecond
 	storeAwayTime = time.Second
 	shortAwayTime = 120 * time.Millisecond
 	// lingerTime is how long an endpoint serves on after its leave was acknowledged.
@@ -317,3 +326,31 @@
 		o.broken, leaving.instance, drainTime, first.Seconds(), last.Seconds(), s.status)
 	return o, nil
 }
+
+// cold: an endpoint becomes cold again while it serves. It says so in its next heartbeat and in its health answers.
+func cold(s *site, trouble bool) (outcome, error) {
+	if err := startAll(s, map[string][]string{"roofers": {"key-roofers"}}); err != nil {
+		return outcome{}, err
+	}
+	stop := make(chan struct{})
+	wg := s.traffic(stop, []string{"yardgate"}, []string{"key-roofers"}, gateGap)
+	time.Sleep(settleTime)
+	e := s.nodes[len(s.nodes)-1].endpoint
+	if trouble {
+		s.rec.add("endpoint", "%s becomes cold for %v", e.instance, coldTime)
+		e.becomeCold(coldTime, crashRate)
+	}
+	time.Sleep(6 * time.Second)
+	close(stop)
+	wg.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := outcome{}
+	most, bound := mostInASecond(e.arrivals), coldRate*coldOverage+coldSlack
+	if float64(most) > bound {
+		o.broken = most
+	}
+	o.detail = fmt.Sprintf("%s got up to %d requests in a second while it was cold, %.1f are allowed; it crashed: %v; answers by status: %v",
+		e.instance, most, bound, e.hasCrashed, s.status)
+	return o, nil
+}
--- a/review/rig-3/site.go
+++ b/review/rig-3/site.go
@@ -227,10 +227,18 @@
 	born     int64
 	server   *http.Server
 	stop     chan struct{}
+	// crashOnce makes the endpoint end once.
+	crashOnce sync.Once
 
 	mu       sync.Mutex
 	sequence int
 	silent   bool
+	// coldUntil is when it becomes warm. crashAbove is the number of requests in a second at which it crashes while
+	// it is cold, 0 for none; arrivals are those since it became cold.
+	coldUntil  time.Time
+	crashAbove int
+	arrivals   []time.Time
+	hasCrashed bool
 }
 
 const workTime = 15 * time.Millisecond
@@ -252,8 +260,10 @@
 
 // crash ends the endpoint.
 func (e *endpoint) crash() {
-	close(e.stop)
-	_ = e.server.Close()
+	e.crashOnce.Do(func() {
+		close(e.stop)
+		_ = e.server.Close()
+	})
 }
 
 func (e *endpoint) beat() {
@@ -276,16 +286,58 @@
 func (e *endpoint) heartbeat(sequence int) map[string]any {
 	return map[string]any{
 		"born": e.born, "service": e.node.service, "address": e.node.appAddress, "zone": e.node.zone, "version": "v1",
-		"slots": 62, "state": "ready", "sequence": sequence, names["cold"]: 0,
+		"slots": 62, "state": "ready", "sequence": sequence, names["cold"]: e.coldMs(),
 	}
 }
 
+func (e *endpoint) coldMs() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(time.Until(e.coldUntil).Milliseconds(), 0)
+}
+
+// becomeCold makes the endpoint cold for a time, without a restart.
+func (e *endpoint) becomeCold(d time.Duration, crashAbove int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil, e.crashAbove = time.Now().Add(d), crashAbove
+}
+
+// countArrival counts a request that arrives while the endpoint is cold. It returns true if the endpoint crashes.
+func (e *endpoint) countArrival() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if now.After(e.coldUntil) {
+		return false
+	}
+	e.arrivals = append(e.arrivals, now)
+	if e.crashAbove == 0 || e.hasCrashed || mostInASecond(e.arrivals) <= e.crashAbove {
+		return false
+	}
+	e.hasCrashed = true
+	return true
+}
+
+// mostInASecond returns the highest number of times within a second.
+func mostInASecond(times []time.Time) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // delayedHeartbeat makes a heartbeat that arrives when the result is called.
 func (e *endpoint) delayedHeartbeat() (deliver func() bool) {
 	e.mu.Lock()
 	e.sequence++
-	body := e.heartbeat(e.sequence)
+	sequence := e.sequence
 	e.mu.Unlock()
+	body := e.heartbeat(sequence)
 	return func() bool { return e.tell(names["heartbeat"], body) }
 }
 
@@ -324,6 +376,7 @@
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		w.Header().Set(names["healthInstance"], e.instance)
+		w.Header().Set(names["healthCold"], strconv.FormatInt(e.coldMs(), 10))
 		w.WriteHeader(http.StatusOK)
 		return
 	}
@@ -339,6 +392,10 @@
 	sentAt := s.sent[id]
 	s.runs = append(s.runs, run{id: id, path: r.URL.Path, tenant: r.Header.Get(names["tenant"]), zone: e.node.zone, instance: e.instance, sentAt: sentAt, at: time.Now()})
 	s.mu.Unlock()
+	if e.countArrival() {
+		s.rec.add("endpoint", "%s crashes at %s", e.instance, id)
+		go e.crash()
+	}
 	s.rec.add("endpoint", "%s in %s runs %s %s for tenant %q", e.instance, e.node.zone, id, r.URL.Path, r.Header.Get(names["tenant"]))
 	time.Sleep(workTime)
 	w.Header().Set(names["signature"], "sig-"+id)
@@ -412,7 +469,7 @@
 			"name": service, "host": "site.example", names["prefix"]: "/" + service + "/", "kind": "safe", "service": service, "priority": 1,
 			"timeoutMs": 2000, names["target"]: 1500, names["attempts"]: 2,
 		})
-		list = append(list, map[string]any{"name": service, "healthPath": "/health"})
+		list = append(list, map[string]any{"name": service, "healthPath": "/health", "coldStartS": 3, names["coldRate"]: coldRate})
 	}
 	for tenant, keys := range tenants {
 		holders = append(holders, map[string]any{"name": tenant, names["keys"]: keys})
