--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -37,11 +37,14 @@
 	"revoke":     revoke,
 	"departure":  departure,
 	"cold":       cold,
+	"ban":        ban,
 }
 
 var (
 	zones    = []string{"annex-b", "mill-st", "river-rd"}
 	services = []string{"stockdesk", "lotbook", "pricebook", "yardgate"}
+	// banServices gives yardgate six endpoints.
+	banServices = []string{"stockdesk", "lotbook", "yardgate", "yardgate"}
 )
 
 func main() {
@@ -76,7 +79,11 @@
 		return 2
 	}
 	defer func() { _ = p.claim.Close() }()
-	s := newSite(rec, p, dir, binary, zones, services)
+	placed := services
+	if scenario == "ban" {
+		placed = banServices
+	}
+	s := newSite(rec, p, dir, binary, zones, placed)
 	result, err := play(s, trouble)
 	s.end()
 	code, verdict := 0, "held"
@@ -144,7 +151,9 @@
 	settleTime = 8 * time.Second
 	trafficGap = 20 * time.Millisecond
 	// gateGap gives each of the three endpoints of yardgate the share of the site: 223 requests a second for five.
-	gateGap       = 7 * time.Millisecond
+	gateGap = 7 * time.Millisecond
+	// maxRetries is how many retries of a request that crashes endpoints may reach endpoints after the third crash.
+	maxRetries    = 3
 	storeAwayTime = time.Second
 	shortAwayTime = 120 * time.Millisecond
 	// lingerTime is how long an endpoint serves on after its leave was acknowledged.
@@ -354,3 +363,79 @@
 		e.instance, most, bound, e.hasCrashed, s.status)
 	return o, nil
 }
+
+// ban: a request that crashes endpoints was banned shortly before the store came back from a copy. Then all processes
+// of the system are killed at once, and the request comes again at all machines. With LOSE=0 in the environment the
+// store is not disturbed, but the processes are killed all the same.
+func ban(s *site, trouble bool) (outcome, error) {
+	if err := startAll(s, map[string][]string{"roofers": {"key-roofers"}}); err != nil {
+		return outcome{}, err
+	}
+	stop := make(chan struct{})
+	wg := s.traffic(stop, banServices, []string{"key-roofers"}, trafficGap)
+	defer func() {
+		close(stop)
+		wg.Wait()
+	}()
+	time.Sleep(settleTime)
+	copied := s.store.copy()
+	for i := range 8 {
+		s.sendTo(s.nodes[i], "yardgate", crashingPath, "key-roofers")
+		time.Sleep(400 * time.Millisecond)
+	}
+	before := s.crashes()
+	time.Sleep(time.Second)
+	if trouble && os.Getenv("LOSE") != "0" {
+		s.rec.add("store", "away")
+		s.store.close()
+		time.Sleep(shortAwayTime)
+		s.store.restore(copied)
+		if err := s.store.open(); err != nil {
+			return outcome{}, err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		s.rec.add("site", "all processes of the system are killed")
+		for _, n := range s.nodes {
+			n.signal(syscall.SIGKILL)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range s.nodes {
+			if err := n.start(); err != nil {
+				return outcome{}, err
+			}
+		}
+	}
+	if err := s.waitReady(10 * time.Second); err != nil {
+		return outcome{}, err
+	}
+	time.Sleep(stableWindow + 3*time.Second)
+	for range 4 {
+		for _, n := range s.nodes {
+			go s.sendTo(n, "yardgate", crashingPath, "key-roofers")
+		}
+		time.Sleep(4 * time.Second)
+	}
+	after := s.crashes()
+	o := outcome{}
+	if after-before > maxRetries {
+		o.broken = after - before
+	}
+	o.detail = fmt.Sprintf("the request crashed %d endpoints before it was banned, and reached endpoints %d times more after that, %d are allowed",
+		before, after-before, maxRetries)
+	return o, nil
+}
+
+// crashes returns how often the request that crashes endpoints has reached one.
+func (s *site) crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, r := range s.runs {
+		if r.path == "/yardgate/"+crashingPath {
+			count++
+		}
+	}
+	return count
+}
--- a/review/rig-3/site.go
+++ b/review/rig-3/site.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,6 +56,7 @@
 	keys   map[string]string
 	runs   []run
 	lastID int
+	births int
 	status map[int]int
 }
 
@@ -110,10 +112,14 @@
 func newSite(rec *record, p *ports, dir, binary string, zones, services []string) *site {
 	s := &site{rec: rec, dir: dir, binary: binary, sent: map[string]time.Time{}, keys: map[string]string{}, status: map[int]int{}}
 	s.store = newStore(rec, p.address())
-	for _, service := range services {
+	for i, service := range services {
 		for _, zone := range zones {
+			name := "sidecar-" + zone + "-" + service
+			if slices.Index(services, service) < i {
+				name += "-" + strconv.Itoa(i)
+			}
 			n := &node{
-				site: s, name: "sidecar-" + zone + "-" + service, zone: zone, service: service,
+				site: s, name: name, zone: zone, service: service,
 				calls: p.address(), peer: p.address(), ready: p.address(), heartbeat: p.address(), metrics: p.address(),
 				appAddress: p.address(),
 				client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}},
@@ -266,6 +272,26 @@
 	})
 }
 
+const (
+	// crashingPath is the path of the request that crashes each endpoint that begins to run it. crashedTime is how
+	// long the endpoint is down.
+	crashingPath = "crash"
+	crashedTime  = 3 * time.Second
+)
+
+// restartLater starts a new endpoint in place of one that has crashed.
+func (s *site) restartLater(e *endpoint) {
+	s.mu.Lock()
+	s.births++
+	instance := fmt.Sprintf("%s-%d", e.instance, s.births)
+	s.mu.Unlock()
+	time.AfterFunc(crashedTime, func() {
+		if err := e.node.startEndpoint(instance); err != nil {
+			s.rec.add("endpoint", "%s does not start: %v", instance, err)
+		}
+	})
+}
+
 func (e *endpoint) beat() {
 	for {
 		e.mu.Lock()
@@ -397,19 +423,31 @@
 		go e.crash()
 	}
 	s.rec.add("endpoint", "%s in %s runs %s %s for tenant %q", e.instance, e.node.zone, id, r.URL.Path, r.Header.Get(names["tenant"]))
+	if strings.HasSuffix(r.URL.Path, "/"+crashingPath) {
+		s.rec.add("endpoint", "%s crashes at %s", e.instance, id)
+		e.crash()
+		s.restartLater(e)
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(workTime)
 	w.Header().Set(names["signature"], "sig-"+id)
 	_, _ = io.WriteString(w, "answer to "+id)
 }
 
 // send sends a safe request at a node and returns the status, 0 without an answer.
-func (s *site) send(n *node, service, key string) int {
+func (s *site) send(n *node, service, key string) int { return s.sendTo(n, service, "", key) }
+
+// sendTo sends a request for a path below a service; without one, the path is the id.
+func (s *site) sendTo(n *node, service, path, key string) int {
 	s.mu.Lock()
 	s.lastID++
 	id := fmt.Sprintf("q%06d", s.lastID)
+	if path == "" {
+		path = id
+	}
 	s.sent[id], s.keys[id] = time.Now(), key
 	s.mu.Unlock()
-	req, err := http.NewRequest(http.MethodGet, "http://"+n.calls+"/"+service+"/"+id, nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.calls+"/"+service+"/"+path, nil)
 	if err != nil {
 		panic(err)
 	}
@@ -424,7 +462,7 @@
 		}
 		_ = resp.Body.Close()
 	}
-	s.rec.add("client", "%s at %s to %s with %s: %d", id, n.name, service, key, status)
+	s.rec.add("client", "%s at %s to %s/%s with %s: %d", id, n.name, service, path, key, status)
 	s.mu.Lock()
 	s.status[status]++
 	s.mu.Unlock()
