era: revisions of the store name the era that they belong to

Cause of what follows: revisions were bare numbers, and Store-Era was read nowhere, so nothing could tell a revision of before the store's return from one of after it. The behaviour of the nodes is as before: they still compare the numbers alone.

--- a/core/mesh/announce.go
+++ b/core/mesh/announce.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"wagtailyoke/core/era"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/store"
 	"wagtailyoke/core/wire"
@@ -89,11 +90,11 @@
 
 	mu sync.Mutex
 	// revision is the last revision of the own entry read from the store, 0 if the store has none.
-	revision uint64
+	revision era.Revision
 	stored   Entry
 	// revisions holds the revisions of all nodes' entries, previousRevisions those of the list
 	// before if the latest list was stale.
-	revisions, previousRevisions map[world.NodeID]uint64
+	revisions, previousRevisions map[world.NodeID]era.Revision
 	writing                      bool
 	// listCount counts the lists that were read. canDetectMissing means that a node absent from
 	// both lists is unlisted. hasReadOthers means that a list named other nodes, or that there are
@@ -113,7 +114,7 @@
 func (a *announcer) handleList(objects []Object, consistency Consistency) {
 	a.mu.Lock()
 	a.canDetectMissing = consistency == ReadLatest || a.listCount > 0
-	a.previousRevisions, a.revisions = a.revisions, map[world.NodeID]uint64{}
+	a.previousRevisions, a.revisions = a.revisions, map[world.NodeID]era.Revision{}
 	if consistency == ReadLatest {
 		a.previousRevisions = nil
 	}
@@ -134,7 +135,7 @@
 	a.n.applyRecords()
 	a.mu.Lock()
 	if a.isUnlistedLocked(a.n.Info.Name) {
-		a.revision, a.stored = 0, Entry{}
+		a.revision, a.stored = era.Revision{}, Entry{}
 	}
 	a.mu.Unlock()
 	a.write()
@@ -162,8 +163,8 @@
 		a.mu.Lock()
 		delete(a.revisions, name)
 		delete(a.previousRevisions, name)
-		if name == a.n.Info.Name && o.Revision >= a.revision {
-			a.revision, a.stored = 0, Entry{}
+		if name == a.n.Info.Name && o.Revision.Number >= a.revision.Number {
+			a.revision, a.stored = era.Revision{}, Entry{}
 		}
 		a.mu.Unlock()
 		a.n.view.UpdateListing(name, nil)
@@ -196,10 +197,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.revisions == nil {
-		a.revisions = map[world.NodeID]uint64{}
+		a.revisions = map[world.NodeID]era.Revision{}
 	}
 	a.revisions[world.NodeID(o.Name)] = o.Revision
-	if world.NodeID(o.Name) == a.n.Info.Name && o.Revision >= a.revision {
+	if world.NodeID(o.Name) == a.n.Info.Name && o.Revision.Number >= a.revision.Number {
 		a.revision, a.stored = o.Revision, e
 	}
 	if err != nil {
@@ -234,9 +235,9 @@
 	a.mu.Lock()
 	a.writing = false
 	switch {
-	case err == nil && o.Revision >= a.revision:
+	case err == nil && o.Revision.Number >= a.revision.Number:
 		a.revision, a.stored = o.Revision, want
-	case errors.Is(err, store.ErrConflict) && o.Revision > 0:
+	case errors.Is(err, store.ErrConflict) && o.Revision.Number > 0:
 		a.revision = o.Revision
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
 		// The entry was deleted or created in the meantime: create or replace it accordingly.
@@ -277,7 +278,7 @@
 // rewrite writes the own entry again because a relay found it missing.
 func (a *announcer) rewrite() {
 	a.mu.Lock()
-	a.revision, a.stored = 0, Entry{}
+	a.revision, a.stored = era.Revision{}, Entry{}
 	a.mu.Unlock()
 	a.write()
 }
@@ -310,10 +311,10 @@
 		revision := a.revisions[name]
 		delete(a.revisions, name)
 		a.mu.Unlock()
-		if revision == 0 {
+		if revision.Number == 0 {
 			continue
 		}
 		a.n.Events.Log(event.EntryDropped, event.Field{Name: "peer", Value: name}, event.Field{Name: "revision", Value: revision})
-		a.n.Store.Delete(KindNode, string(name), revision, func(error) {})
+		a.n.Store.Delete(KindNode, string(name), revision, func(era.Era, error) {})
 	}
 }
--- a/core/mesh/departures.go
+++ b/core/mesh/departures.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"wagtailyoke/core/depart"
+	"wagtailyoke/core/era"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/store"
 	"wagtailyoke/core/timer"
@@ -247,13 +248,13 @@
 	if !k.n.view.IsStoreWriter() {
 		return
 	}
-	k.n.Store.List(KindDeparture, ReadStale, func(objects []Object, _ uint64, err error) {
+	k.n.Store.List(KindDeparture, ReadStale, func(objects []Object, _ era.Revision, err error) {
 		if err != nil {
 			return
 		}
 		for _, o := range objects {
 			if stored, err := k.decode(o.Value); err == nil && depart.AreExpired(stored, k.n.Clock.Wall()) {
-				k.n.Store.Delete(KindDeparture, o.Name, o.Revision, func(error) {})
+				k.n.Store.Delete(KindDeparture, o.Name, o.Revision, func(era.Era, error) {})
 			}
 		}
 	})
--- a/core/mesh/evacuation.go
+++ b/core/mesh/evacuation.go
@@ -96,13 +96,13 @@
 	}
 	f.onConfirm = func() {}
 	f.onList = func(objects []Object, _ Consistency) {
-		n.updateEvacuations(f.revision, evacuationSourcePlatform, func(domains map[world.DomainID]bool) {
+		n.updateEvacuations(f.revision.Number, evacuationSourcePlatform, func(domains map[world.DomainID]bool) {
 			clear(domains)
 			applyEvacuations(domains, objects)
 		})
 	}
 	f.onChanges = func(objects []Object) {
-		n.updateEvacuations(f.revision, evacuationSourcePlatform, func(domains map[world.DomainID]bool) { applyEvacuations(domains, objects) })
+		n.updateEvacuations(f.revision.Number, evacuationSourcePlatform, func(domains map[world.DomainID]bool) { applyEvacuations(domains, objects) })
 	}
 	f.step()
 }
--- a/core/mesh/follow.go
+++ b/core/mesh/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"wagtailyoke/core/era"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/store"
 	"wagtailyoke/core/timer"
@@ -50,25 +51,26 @@
 // Object is an object in the platform's store.
 type Object struct {
 	Name     string
-	Revision uint64
+	Revision era.Revision
 	Value    []byte
 	// IsDeleted marks a change that deleted the object.
 	IsDeleted bool
 }
 
 // ObjectStore is the platform's object store. Each done is called once. Errors are those of
-// core/store.
+// core/store. All revisions in an answer name the store's era, also beside an error; it is 0 if the store names
+// none or has not answered.
 type ObjectStore interface {
 	// List returns all objects of a kind and the store's revision.
-	List(kind Kind, consistency Consistency, done func(objects []Object, revision uint64, err error))
+	List(kind Kind, consistency Consistency, done func(objects []Object, revision era.Revision, err error))
 	// Get returns an object.
 	Get(kind Kind, name string, consistency Consistency, done func(Object, error))
 	// Watch returns the changes after a revision, or no changes when the wait ends.
-	Watch(kind Kind, after uint64, wait time.Duration, done func(changes []Object, revision uint64, err error))
-	// Put creates an object (revision 0) or replaces the given revision of it.
-	Put(kind Kind, name string, revision uint64, value []byte, done func(Object, error))
+	Watch(kind Kind, after era.Revision, wait time.Duration, done func(changes []Object, revision era.Revision, err error))
+	// Put creates an object (revision number 0) or replaces the given revision of it.
+	Put(kind Kind, name string, revision era.Revision, value []byte, done func(Object, error))
 	// Delete deletes the object if it still has the given revision.
-	Delete(kind Kind, name string, revision uint64, done func(error))
+	Delete(kind Kind, name string, revision era.Revision, done func(era.Era, error))
 }
 
 // Timing of a follower.
@@ -128,7 +130,7 @@
 	relistsAfterFailure, mustRelist bool
 
 	hasListed bool
-	revision  uint64
+	revision  era.Revision
 	failures  atomic.Int32
 }
 
@@ -149,7 +151,7 @@
 }
 
 func (f *follower) list() {
-	f.n.Store.List(f.kind, f.consistency, func(objects []Object, revision uint64, err error) {
+	f.n.Store.List(f.kind, f.consistency, func(objects []Object, revision era.Revision, err error) {
 		if err != nil {
 			f.reportFirstResult()
 			f.scheduleRetry(err)
@@ -174,7 +176,7 @@
 }
 
 func (f *follower) watch() {
-	f.n.Store.Watch(f.kind, f.revision, f.watchTimeout(), func(changes []Object, revision uint64, err error) {
+	f.n.Store.Watch(f.kind, f.revision, f.watchTimeout(), func(changes []Object, revision era.Revision, err error) {
 		if errors.Is(err, store.ErrCompacted) {
 			// A stale list could be older than the store's history.
 			f.hasListed, f.consistency = false, ReadLatest
@@ -186,7 +188,9 @@
 			return
 		}
 		f.recordSuccess()
-		f.revision = max(f.revision, revision)
+		if revision.Number > f.revision.Number {
+			f.revision = revision
+		}
 		if len(changes) > 0 {
 			f.onChanges(changes)
 		}
@@ -310,7 +314,7 @@
 	if !n.view.IsRelay() || n.watchesEntries() {
 		return
 	}
-	n.Store.List(KindNode, ReadStale, func(objects []Object, _ uint64, err error) {
+	n.Store.List(KindNode, ReadStale, func(objects []Object, _ era.Revision, err error) {
 		if err == nil {
 			n.announcer.handleList(objects, ReadStale)
 		}
@@ -320,7 +324,7 @@
 // relistEntries reads the entries again after an outage: a watch started before it may return nothing
 // for some time, and entries may be lost.
 func (n *Node) relistEntries() {
-	n.Store.List(KindNode, ReadLatest, func(objects []Object, _ uint64, err error) {
+	n.Store.List(KindNode, ReadLatest, func(objects []Object, _ era.Revision, err error) {
 		if err == nil {
 			n.announcer.handleList(objects, ReadLatest)
 		}
--- a/core/mesh/sharedobject.go
+++ b/core/mesh/sharedobject.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"wagtailyoke/core/era"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/store"
 )
@@ -25,7 +26,7 @@
 	mu sync.Mutex
 	// revision is the last revision read from the store, 0 if the object does not exist. stored is
 	// the content of that revision.
-	revision uint64
+	revision era.Revision
 	stored   T
 	writing  bool
 	// nextWriteAt is the earliest time of the next write.
@@ -43,12 +44,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o.Revision < s.revision {
+	if o.Revision.Number < s.revision.Number {
 		return stored, false
 	}
 	s.revision, s.stored = o.Revision, stored
 	if o.IsDeleted {
-		s.revision = 0
+		s.revision = era.Revision{}
 	}
 	return stored, true
 }
@@ -74,16 +75,16 @@
 
 func (s *sharedObject[T]) handleWriteResult(next T, o Object, err error, done func(conflicting *Object, err error)) {
 	var conflicting *Object
-	if errors.Is(err, store.ErrConflict) && o.Revision > 0 {
+	if errors.Is(err, store.ErrConflict) && o.Revision.Number > 0 {
 		conflicting = &o
 	}
 	s.mu.Lock()
 	s.writing = false
 	switch {
-	case err == nil && o.Revision >= s.revision:
+	case err == nil && o.Revision.Number >= s.revision.Number:
 		s.revision, s.stored = o.Revision, next
 	case errors.Is(err, store.ErrNotFound):
-		s.revision = 0
+		s.revision = era.Revision{}
 	case err != nil && conflicting == nil:
 		s.nextWriteAt = max(s.nextWriteAt, s.n.Clock.Now()+sharedWriteBackoff)
 	}
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"wagtailyoke/core/era"
 	"wagtailyoke/core/event"
 	"wagtailyoke/core/invar"
 	"wagtailyoke/core/mesh"
@@ -786,12 +787,10 @@
 
 // objects is the simulated object store of the platform.
 type objects struct {
-	site     *site
-	revision uint64
-	kinds    [mesh.KindCount]map[string]mesh.Object
-	history  []change
-	// first is the oldest revision from which a watch can continue.
-	first uint64
+	site *site
+	storeState
+	// era rises each time the store comes back from a copy.
+	era era.Era
 	// refuses holds the nodes whose calls fail; isDown fails the calls of all nodes.
 	refuses map[world.NodeID]bool
 	isDown  bool
@@ -810,6 +809,29 @@
 	staleSnapshots map[mesh.Kind]*snapshot
 }
 
+// storeState is what a copy of the store holds. Its revisions name no era.
+type storeState struct {
+	revision uint64
+	kinds    [mesh.KindCount]map[string]mesh.Object
+	history  []change
+	// first is the oldest revision from which a watch can continue.
+	first uint64
+}
+
+// answered returns an object as an answer shows it, with the present era.
+func (o *objects) answered(object mesh.Object) mesh.Object {
+	object.Revision.Era = o.era
+	return object
+}
+
+func (o *objects) answeredAll(objects []mesh.Object) []mesh.Object {
+	var list []mesh.Object
+	for _, object := range objects {
+		list = append(list, o.answered(object))
+	}
+	return list
+}
+
 // staleTime is the maximum age of the data that stale reads return.
 const staleTime = 2 * time.Second
 
@@ -841,7 +863,7 @@
 }
 
 func newObjects(s *site) *objects {
-	o := &objects{site: s, revision: 1, refuses: map[world.NodeID]bool{}, staleSnapshots: map[mesh.Kind]*snapshot{}}
+	o := &objects{site: s, storeState: storeState{revision: 1}, era: 1, refuses: map[world.NodeID]bool{}, staleSnapshots: map[mesh.Kind]*snapshot{}}
 	for i := range o.kinds {
 		o.kinds[i] = map[string]mesh.Object{}
 	}
@@ -859,7 +881,7 @@
 
 func (o *objects) change(kind mesh.Kind, object mesh.Object) mesh.Object {
 	o.revision++
-	object.Revision = o.revision
+	object.Revision = era.Revision{Number: o.revision}
 	if object.IsDeleted {
 		delete(o.kinds[kind], object.Name)
 	} else {
@@ -915,7 +937,7 @@
 	})
 }
 
-func (o *storeOf) List(kind mesh.Kind, reading mesh.Consistency, done func([]mesh.Object, uint64, error)) {
+func (o *storeOf) List(kind mesh.Kind, reading mesh.Consistency, done func([]mesh.Object, era.Revision, error)) {
 	if reading == mesh.ReadStale {
 		o.cost -= 0.9
 	}
@@ -925,9 +947,10 @@
 			past := o.staleSnapshot(kind)
 			held, revision = past.objects, past.revision
 		}
-		list := slices.SortedFunc(maps.Values(held), func(a, b mesh.Object) int { return strings.Compare(a.Name, b.Name) })
-		answer(func() { done(list, revision, nil) })
-	}, func(err error) { done(nil, 0, err) })
+		list := o.answeredAll(slices.SortedFunc(maps.Values(held), func(a, b mesh.Object) int { return strings.Compare(a.Name, b.Name) }))
+		at := o.at(revision)
+		answer(func() { done(list, at, nil) })
+	}, func(err error) { done(nil, era.Revision{}, err) })
 }
 
 func (o *storeOf) Get(kind mesh.Kind, name string, reading mesh.Consistency, done func(mesh.Object, error)) {
@@ -940,9 +963,10 @@
 			objects = o.staleSnapshot(kind).objects
 		}
 		held, ok := objects[name]
+		held = o.answered(held)
 		answer(func() {
 			if !ok {
-				done(mesh.Object{}, store.ErrNotFound)
+				done(held, store.ErrNotFound)
 				return
 			}
 			done(held, nil)
@@ -950,10 +974,15 @@
 	}, func(err error) { done(mesh.Object{}, err) })
 }
 
-func (o *storeOf) Watch(kind mesh.Kind, after uint64, wait time.Duration, done func([]mesh.Object, uint64, error)) {
+// at returns a revision as an answer shows it.
+func (o *objects) at(number uint64) era.Revision { return era.Revision{Era: o.era, Number: number} }
+
+func (o *storeOf) Watch(kind mesh.Kind, from era.Revision, wait time.Duration, done func([]mesh.Object, era.Revision, error)) {
+	after := from.Number
 	o.call(func(answer func(func())) {
-		if after < o.first {
-			answer(func() { done(nil, 0, store.ErrCompacted) })
+		if after < o.first || after > o.revision {
+			at := o.at(0)
+			answer(func() { done(nil, at, store.ErrCompacted) })
 			return
 		}
 		isOver := false
@@ -968,9 +997,15 @@
 					list = append(list, c.object)
 				}
 			}
-			revision := o.revision
+			list, revision := o.answeredAll(list), o.at(o.revision)
 			answer(func() { done(list, revision, nil) })
 		}
+		fail := func() {
+			if !isOver {
+				isOver = true
+				answer(func() { done(nil, era.Revision{}, store.ErrUnavailable) })
+			}
+		}
 		if last := o.lastOf(kind); last > after && !o.losesWatches {
 			fire()
 			return
@@ -979,17 +1014,12 @@
 		o.site.clock.After(wait, func() {
 			if o.losesWatches {
 				// The watch is lost without a sign; the client gives up later.
-				o.site.clock.After(time.Second, func() {
-					if !isOver {
-						isOver = true
-						answer(func() { done(nil, 0, store.ErrUnavailable) })
-					}
-				})
+				o.site.clock.After(time.Second, fail)
 				return
 			}
 			fire()
 		})
-	}, func(err error) { done(nil, 0, err) })
+	}, func(err error) { done(nil, era.Revision{}, err) })
 }
 
 func (o *objects) lastOf(kind mesh.Kind) uint64 {
@@ -1001,16 +1031,18 @@
 	return 0
 }
 
-func (o *storeOf) Put(kind mesh.Kind, name string, revision uint64, value []byte, done func(mesh.Object, error)) {
+func (o *storeOf) Put(kind mesh.Kind, name string, revision era.Revision, value []byte, done func(mesh.Object, error)) {
 	o.call(func(answer func(func())) {
 		held, ok := o.kinds[kind][name]
+		isHeld := held.Revision.Number == revision.Number
+		held = o.answered(held)
 		switch {
-		case ok && held.Revision != revision:
+		case ok && !isHeld:
 			answer(func() { done(held, store.ErrConflict) })
-		case !ok && revision > 0:
-			answer(func() { done(mesh.Object{}, store.ErrNotFound) })
+		case !ok && revision.Number > 0:
+			answer(func() { done(held, store.ErrNotFound) })
 		default:
-			object := o.change(kind, mesh.Object{Name: name, Value: value})
+			object := o.answered(o.change(kind, mesh.Object{Name: name, Value: value}))
 			if o.losesWrites {
 				o.site.clock.After(time.Second, func() { answer(func() { done(mesh.Object{}, store.ErrUnavailable) }) })
 				return
@@ -1020,16 +1052,17 @@
 	}, func(err error) { done(mesh.Object{}, err) })
 }
 
-func (o *storeOf) Delete(kind mesh.Kind, name string, revision uint64, done func(error)) {
+func (o *storeOf) Delete(kind mesh.Kind, name string, revision era.Revision, done func(era.Era, error)) {
 	o.call(func(answer func(func())) {
 		held, ok := o.kinds[kind][name]
-		if !ok || held.Revision != revision {
-			answer(func() { done(store.ErrConflict) })
+		at := o.era
+		if !ok || held.Revision.Number != revision.Number {
+			answer(func() { done(at, store.ErrConflict) })
 			return
 		}
 		o.change(kind, mesh.Object{Name: name, IsDeleted: true})
-		answer(func() { done(nil) })
-	}, done)
+		answer(func() { done(at, nil) })
+	}, func(err error) { done(0, err) })
 }
 
 // quotaTolerance is how far customers may exceed their rates, as set on all nodes.
--- a/scripts/names.sh
+++ b/scripts/names.sh
@@ -5,7 +5,7 @@
 names='pathPrefix|apiKeys|trafficSplit|maxAttempts|targetLatencyMs|heartbeatAddr|coldRemainingMs|ratePerS'
 names+='|Instances\.(Heartbeat|Leave)|/v1/(ready|objects)|currentRev|allowStale'
 names+='|Wagtailyoke-(Deadline-Ms|Tenant|Expected-Instance|Instance-Id|Not-Executed|Response-Signature|Caller-Service)'
-names+='|Server-(Limit|Leaving)'
+names+='|Server-(Limit|Leaving)|Store-Era'
 found=$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^platform/' | xargs grep -nE "$names")
 if [ -n "$found" ]; then
   echo "platform protocol names outside platform/:"
