follow: a change under a revision that was given out again is seen

Cause: after the store's return from a copy the nodes watched on from their revision. The operators' change had got just that one, so the watch showed nothing, and the answer without changes confirmed the old table as the newest. Evidence: the simulated store, one lost change: every node keeps version 1 while the store holds 2. Change: a watch from a revision of an earlier era counts as "history gone" and the objects are listed, whether the era is known before the call or shows in its answer. The first watch after a failure waits for 50 ms only. Why it works: a position is used only in the era that it was read in; a list of the new era holds all that the store has. Test that failed before: TestTableUnderAReusedRevisionIsInstalled/lost=1.

--- a/core/mesh/follow.go
+++ b/core/mesh/follow.go
@@ -80,6 +80,9 @@
 	maxTableWatchTimeout = 800 * time.Millisecond
 	// minTableWatchTimeout is the shortest such timeout.
 	minTableWatchTimeout = 200 * time.Millisecond
+	// recoveryWatchTimeout is that of the first watch after a failed call. The store may have come back from a
+	// copy, which its answer shows.
+	recoveryWatchTimeout = 50 * time.Millisecond
 	// entryWatchTimeout is the timeout for the entries of nodes. It can be longer because a node
 	// that is not listed yet contacts the relays itself.
 	entryWatchTimeout = 8 * time.Second
@@ -176,7 +179,11 @@
 }
 
 func (f *follower) watch() {
-	f.n.Store.Watch(f.kind, f.revision, f.watchTimeout(), func(changes []Object, revision era.Revision, err error) {
+	timeout := f.watchTimeout()
+	if f.failures.Load() > 0 {
+		timeout = min(timeout, recoveryWatchTimeout)
+	}
+	f.n.Store.Watch(f.kind, f.revision, timeout, func(changes []Object, revision era.Revision, err error) {
 		if errors.Is(err, store.ErrCompacted) {
 			// A stale list could be older than the store's history.
 			f.hasListed, f.consistency = false, ReadLatest
@@ -188,7 +195,7 @@
 			return
 		}
 		f.recordSuccess()
-		if revision.Number > f.revision.Number {
+		if revision.IsAfter(f.revision) {
 			f.revision = revision
 		}
 		if len(changes) > 0 {
--- a/core/mesh/storeera.go
+++ b/core/mesh/storeera.go
@@ -7,6 +7,7 @@
 
 	"wagtailyoke/core/era"
 	"wagtailyoke/core/event"
+	"wagtailyoke/core/store"
 )
 
 // presentStore makes calls to the platform's store and observes the era of each answer. An answer of an earlier
@@ -41,10 +42,19 @@
 	s.store.Get(kind, name, consistency, func(o Object, err error) { done(o, s.check(o.Revision.Era, err)) })
 }
 
-// Watch implements ObjectStore.
+// Watch implements ObjectStore. A revision of an earlier era has no changes after it: the store may hold the same
+// number again, and would report only what follows.
 func (s *presentStore) Watch(kind Kind, after era.Revision, wait time.Duration, done func([]Object, era.Revision, error)) {
+	if after.Era != s.eras.Present() {
+		done(nil, era.Revision{}, store.ErrCompacted)
+		return
+	}
 	s.store.Watch(kind, after, wait, func(changes []Object, revision era.Revision, err error) {
-		done(changes, revision, s.check(revision.Era, err))
+		err = s.check(revision.Era, err)
+		if err == nil && revision.Era != 0 && revision.Era != after.Era {
+			err = store.ErrCompacted
+		}
+		done(changes, revision, err)
 	})
 }
 
--- a/core/mesh/storeera_test.go
+++ b/core/mesh/storeera_test.go
@@ -1,6 +1,7 @@
 package mesh_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wagtailyoke/core/mesh"
+	"wagtailyoke/core/wire"
 	"wagtailyoke/core/world"
 )
 
@@ -134,3 +136,61 @@
 	s.run(3 * time.Second)
 	s.expectEvacuated()
 }
+
+func (s *site) tableVersionAt(v *vm) uint64 {
+	return v.node.HandleExchange(&wire.ExchangeRequest{}).GetTableVersion()
+}
+
+func (s *site) expectTable(version uint64) {
+	s.c.Helper()
+	for _, v := range s.nodes {
+		s.c.Assert(s.tableVersionAt(v), qt.Equals, version, qt.Commentf("at %s", v.name))
+	}
+}
+
+// configWithin is the time within which a configuration must be in force.
+const configWithin = 2500 * time.Millisecond
+
+// TestTableUnderAReusedRevisionIsInstalled guards against a change that is never seen because the store, back from a
+// copy, gives it the revision from which the nodes watch.
+func TestTableUnderAReusedRevisionIsInstalled(t *testing.T) {
+	for lost := range 4 {
+		t.Run(fmt.Sprintf("lost=%d", lost), func(t *testing.T) {
+			s := newTestSite(qt.New(t), 74)
+			s.run(4 * time.Second)
+			copied := s.store.clone()
+			s.raiseRevision(lost)
+			s.run(2 * time.Second)
+			s.store.setDown(true)
+			s.run(120 * time.Millisecond)
+			s.store.returnFrom(copied)
+			s.store.writeTable(2)
+			s.store.setDown(false)
+			s.run(configWithin)
+			s.expectTable(2)
+		})
+	}
+}
+
+// TestTableStaysWhileTheStoreHoldsAnOlderOne expects that no node goes back to the configuration that the store holds
+// after its return, nor one that starts meanwhile, and that the next one is followed.
+func TestTableStaysWhileTheStoreHoldsAnOlderOne(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSite(c, 75)
+	s.run(4 * time.Second)
+	copied := s.store.clone()
+	s.store.writeTable(2)
+	s.run(2 * time.Second)
+	s.storeReturns(copied)
+	s.run(time.Second)
+	s.restartAfter(s.relays()["d0"], restartDelay)
+	s.restartAfter(s.nodesOf("d1")[1].name, restartDelay)
+	s.run(2 * time.Second)
+	s.expectTable(2)
+	s.storeReturns(copied)
+	s.store.writeTable(2)
+	s.run(2 * time.Second)
+	s.store.writeTable(3)
+	s.run(configWithin)
+	s.expectTable(3)
+}
