quarantine: bans that the store has lost are written again

The stored entries counted as complete although the store had lost them. Evidence: in the simulated site the ban is missing after the return, and six crashes instead of three follow the kill of all nodes. Change: stored entries count only in their era; in a new era the store watchers write what is missing at once. Test that failed before: TestBanOutlivesTheStoresReturn.

--- a/core/mesh/crash.go
+++ b/core/mesh/crash.go
@@ -139,7 +139,7 @@
 	n.quarantine.RecordCrash(n.randomID(), fingerprints)
 	n.exchangeSoon()
 	n.logNewBans(banSourceUpstream)
-	n.quarantineStore.handleOwnCrash()
+	n.quarantineStore.persistAtOnce()
 	n.Events.Log(event.UpstreamSuspected, event.Field{Name: "calls", Value: len(fingerprints)},
 		event.Field{Name: "fingerprints", Value: formatFingerprints(fingerprints)})
 }
--- a/core/mesh/quarantinestore.go
+++ b/core/mesh/quarantinestore.go
@@ -22,8 +22,9 @@
 	loggedBans map[uint64]bool
 	// missingSince is when information was first found to be missing in the store, 0 if none is.
 	missingSince time.Duration
-	// hasOwnCrash means that the upstream of this node has ended since the store was last complete.
-	hasOwnCrash bool
+	// mustWriteAtOnce means that nobody else may write what is missing: the upstream of this node has ended since
+	// the store was last complete, or the store has come back from a copy and this node watches it.
+	mustWriteAtOnce bool
 }
 
 func newQuarantineStore(n *Node) *quarantineStore {
@@ -45,28 +46,28 @@
 	}
 }
 
-// handleOwnCrash records that the upstream of this node has ended.
-func (s *quarantineStore) handleOwnCrash() {
+// persistAtOnce writes the object if it lacks something, without waiting for another node to do so.
+func (s *quarantineStore) persistAtOnce() {
 	s.mu.Lock()
-	s.hasOwnCrash = true
+	s.mustWriteAtOnce = true
 	s.mu.Unlock()
 	s.persistIfMissing()
 }
 
 // persistIfMissing writes the object if it lacks something. The node whose upstream ended writes it
-// immediately, the relays if that node has not.
+// immediately, and the store watchers in a new era of the store; the relays do if these have not.
 func (s *quarantineStore) persistIfMissing() {
 	now := s.n.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.n.quarantine.IsUpToDate(s.stored, s.n.Clock.Wall()) {
-		s.missingSince, s.hasOwnCrash = 0, false
+	if _, stored := s.knownLocked(); s.n.quarantine.IsUpToDate(stored, s.n.Clock.Wall()) {
+		s.missingSince, s.mustWriteAtOnce = 0, false
 		return
 	}
 	if s.missingSince == 0 {
 		s.missingSince = now
 	}
-	mayWrite := s.hasOwnCrash || s.n.view.IsRelay() && now-s.missingSince >= relayWriteDelay
+	mayWrite := s.mustWriteAtOnce || s.n.view.IsRelay() && now-s.missingSince >= relayWriteDelay
 	if !mayWrite || !s.canWriteLocked() {
 		return
 	}
--- a/core/mesh/storeera.go
+++ b/core/mesh/storeera.go
@@ -92,4 +92,7 @@
 	n.Events.Log(event.StoreEraChanged, event.Field{Name: "era", Value: e}, event.Field{Name: "source", Value: source})
 	n.exchangeSoon()
 	n.Clock.After(0, n.departures.tick)
+	if n.view.IsStoreWatcher() {
+		n.Clock.After(0, n.quarantineStore.persistAtOnce)
+	}
 }
--- a/core/mesh/storeera_test.go
+++ b/core/mesh/storeera_test.go
@@ -249,3 +249,22 @@
 		})
 	}
 }
+
+// TestBanOutlivesTheStoresReturn guards against a ban that no node writes again after the store has come back from a
+// copy without it: once all processes are killed, the request crashes further upstreams.
+func TestBanOutlivesTheStoresReturn(t *testing.T) {
+	for returns := range 2 {
+		s := newTestSite(qt.New(t), 77)
+		s.run(3 * time.Second)
+		copied := s.store.clone()
+		path := s.ban("view")
+		for range 1 + returns {
+			s.storeReturns(copied)
+			s.run(time.Second)
+		}
+		before := len(s.crashes[path])
+		s.restartAll(restartDelay)
+		s.everyRandomNode(300*time.Millisecond, 10*time.Second, func(v *vm) { s.askCrashing(v, "view") })
+		s.c.Assert(len(s.crashes[path]), qt.Equals, before)
+	}
+}
