graphstore: a call graph that the store has lost is written again

Cause: that of the departures, on a related path: the graph counted as stored by what was written in an earlier era. Change: it counts in its era only, and the pause between two writes ends with a new era. Test that failed before: TestGraphIsWrittenAfterTheStoresReturn.

--- a/core/mesh/graphstore.go
+++ b/core/mesh/graphstore.go
@@ -89,13 +89,21 @@
 	}
 }
 
-// storedEdges returns the calls in the store.
+// storedEdges returns the calls that the store held when they were last read. They remain plausible if the store has
+// come back from a copy since.
 func (s *graphStore) storedEdges() []*wire.CallEdge {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.stored
 }
 
+// allowWrite ends the pause after the last write, whose result may be lost.
+func (s *graphStore) allowWrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextWriteAt = 0
+}
+
 // persistIfSettled writes the graph, at the first relay, once it has been unchanged for some time.
 func (s *graphStore) persistIfSettled() {
 	edges, now := s.n.view.Edges(), s.n.Clock.Now()
@@ -105,7 +113,7 @@
 		s.lastEdges, s.unchangedSince = edges, now
 	}
 	isSettled := len(edges) > 0 && now-s.unchangedSince >= graphSettleTime
-	if !isSettled || !s.canWriteLocked() || fleet.IsSameGraph(edges, s.stored) || !s.n.view.IsStoreWriter() {
+	if _, stored := s.knownLocked(); !isSettled || !s.canWriteLocked() || fleet.IsSameGraph(edges, stored) || !s.n.view.IsStoreWriter() {
 		return
 	}
 	s.writing, s.nextWriteAt = true, now+graphWriteInterval
--- a/core/mesh/storeera.go
+++ b/core/mesh/storeera.go
@@ -91,6 +91,7 @@
 func (n *Node) handleNewEra(e era.Era, source string) {
 	n.Events.Log(event.StoreEraChanged, event.Field{Name: "era", Value: e}, event.Field{Name: "source", Value: source})
 	n.exchangeSoon()
+	n.graphStore.allowWrite()
 	n.Clock.After(0, n.departures.tick)
 	if n.view.IsStoreWatcher() {
 		n.Clock.After(0, n.quarantineStore.persistAtOnce)
--- a/core/mesh/storeera_test.go
+++ b/core/mesh/storeera_test.go
@@ -268,3 +268,16 @@
 		s.c.Assert(len(s.crashes[path]), qt.Equals, before)
 	}
 }
+
+// TestGraphIsWrittenAfterTheStoresReturn expects the call graph in the store again, for a loss of all nodes.
+func TestGraphIsWrittenAfterTheStoresReturn(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSite(c, 79)
+	s.run(time.Second)
+	copied := s.store.clone()
+	s.load(8*time.Second, usualRates, map[string]*outcome{})
+	c.Assert(string(s.store.kinds[mesh.KindNode]["graph"].Value), qt.Contains, "hold")
+	s.storeReturns(copied)
+	s.run(4 * time.Second)
+	c.Assert(string(s.store.kinds[mesh.KindNode]["graph"].Value), qt.Contains, "hold")
+}
