fleet: nodes beside relays of the last build notice a new era of the store

Callers at nodes of this build could still see old orders during a replacement of machines: relays of the last build watch on from revisions of an earlier era and pass orders on without one. Found on a related path, not seen with real processes. Cause: two relays watch the store for all nodes, and every node learns from the relay of its failure domain. Change: a node's record says that it follows eras. If one of the watching relays does not, the first two nodes that do watch the store as well; nodes whose own relay does not watch the evacuations themselves. A record that was made from the listing says nothing. Tests that failed before: TestNodesBesideOldBuildsFollowTheReturnedStore (without the node's own watch), TestTableUnderAReusedRevisionIsInstalled/lost=1,oldRelays=true (without the substitutes); TestFirstNodesOfThisBuildWatchBesideOldRelays.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,6 +83,32 @@
 	c.Assert(v.Targets(), qt.DeepEquals, []world.NodeID{"a"})
 }
 
+// TestFirstNodesOfThisBuildWatchBesideOldRelays expects two nodes that follow the store's eras to watch it while one of
+// the two relays that do so is of an older build.
+func TestFirstNodesOfThisBuildWatchBesideOldRelays(t *testing.T) {
+	c := qt.New(t)
+	domains := map[string]string{"a": "d1", "b": "d1", "c": "d2", "d": "d2", "e": "d3"}
+	watchers := func(old ...string) (names string) {
+		var records []*wire.FleetRecord
+		for name, domain := range domains {
+			r := record(name, domain, 1)
+			r.Sequence, r.FollowsEras = 1, !slices.Contains(old, name)
+			records = append(records, r)
+		}
+		for _, name := range slices.Sorted(maps.Keys(domains)) {
+			v := newView(timer.NewVirtual(), name, domains[name], 1)
+			v.MergeRecords(records)
+			if v.IsStoreWatcher() && !slices.Contains(old, name) {
+				names += name
+			}
+		}
+		return names
+	}
+	for old, want := range map[string]string{"": "ac", "e": "ac", "a": "bc", "ac": "bd", "ab": "cd", "abc": "de", "abce": "d", "abcd": "e"} {
+		c.Check(watchers(strings.Split(old, "")...), qt.Equals, want, qt.Commentf("nodes of the older build: %s", old))
+	}
+}
+
 // TestFailedNodeDoesNotDelayExchange expects that retries of a relay candidate that does not answer
 // leave the exchange with the present relay as it is.
 func TestFailedNodeDoesNotDelayExchange(t *testing.T) {
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -72,11 +72,62 @@
 const storeWatchers = 2
 
 // IsStoreWatcher reports whether this node watches the platform's object store for all nodes: it is the
-// relay of one of the first failure domains, by name, that have a reachable relay.
+// relay of one of the first failure domains, by name, that have a reachable relay. If one of these relays is of an
+// older build, which misses that the store has come back from a copy, the first nodes of this build watch as well.
 func (v *View) IsStoreWatcher() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.isRelayLocked() && v.precedingRelaysLocked() < storeWatchers
+	if v.isRelayLocked() && v.precedingRelaysLocked() < storeWatchers {
+		return true
+	}
+	return v.hasOldWatcherLocked() && v.isSubstituteWatcherLocked()
+}
+
+// isOldBuild reports whether a node has said of itself that it does not follow the store's eras. A record that was
+// made from the platform's listing says nothing.
+func (m *member) isOldBuild() bool { return m.record.GetSequence() > 0 && !m.record.GetFollowsEras() }
+
+// HasOldRelay reports whether the relay of this node's failure domain is of an older build, which passes on nothing that
+// depends on the store's era.
+func (v *View) HasOldRelay() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	relay := v.nodes[v.relayLocked(v.self.GetDomain())]
+	return relay != nil && relay.isOldBuild()
+}
+
+// hasOldWatcherLocked reports whether a relay that watches the store is of an older build.
+func (v *View) hasOldWatcherLocked() bool {
+	count, now := 0, v.clock.Now()
+	for _, domain := range slices.Sorted(maps.Keys(v.byDomain)) {
+		relay := v.nodes[v.relayLocked(domain)]
+		if relay == nil || v.isUnreachableLocked(relay, now) {
+			continue
+		}
+		if relay.isOldBuild() {
+			return true
+		}
+		if count++; count == storeWatchers {
+			return false
+		}
+	}
+	return false
+}
+
+// isSubstituteWatcherLocked reports whether this node is one of the first nodes of this build, by failure domain and name.
+func (v *View) isSubstituteWatcherLocked() bool {
+	count, now := 0, v.clock.Now()
+	for _, domain := range slices.Sorted(maps.Keys(v.byDomain)) {
+		for _, m := range v.byDomain[domain] {
+			if world.NodeID(m.record.GetNode()) == v.selfName() {
+				return count < storeWatchers
+			}
+			if m.record.GetFollowsEras() && !m.record.GetStopping() && !v.isUnreachableLocked(m, now) {
+				count++
+			}
+		}
+	}
+	return false
 }
 
 // precedingRelaysLocked counts the failure domains before the own one that have a reachable relay.
--- a/core/mesh/evacuation.go
+++ b/core/mesh/evacuation.go
@@ -47,9 +47,10 @@
 }
 
 // watchesEvacuations reports whether this node watches the evacuations in the store. While the store does
-// not answer, only the calls for the routing table go on.
+// not answer, only the calls for the routing table go on. Every node watches them itself whose relay is of an older build:
+// orders without an era are not taken.
 func (n *Node) watchesEvacuations() bool {
-	return n.watchesTable() && n.tableFollower.failures.Load() == 0
+	return (n.watchesTable() || n.view.HasOldRelay()) && n.tableFollower.failures.Load() == 0
 }
 
 // Sources of changes other than nodes, as shown in logs: evacuations that were read from the store, and those that it
@@ -78,7 +79,7 @@
 }
 
 // mergeEvacuations applies another node's evacuations. Those without an era are of an older build, which may have
-// missed that the store has come back from a copy; the nodes of this build watch the store themselves then.
+// missed that the store has come back from a copy.
 func (n *Node) mergeEvacuations(w *wire.Evacuations, from world.NodeID) {
 	if w == nil {
 		return
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -325,7 +325,7 @@
 		PeerAddress: string(d.Info.PeerAddress),
 		Incarnation: uint64(max(d.Info.Started.UnixMilli(), 1)),
 
-		ForwardsTokens: true,
+		ForwardsTokens: true, FollowsEras: true,
 	}
 	n.callMatcher = newCallMatcher(n.graph)
 	n.tokenRoutes, n.sharingNodes = newTokenRoutes(n), &sharingNodes{n: n, lastSeen: map[world.NodeID]time.Duration{}}
--- a/core/mesh/notice_test.go
+++ b/core/mesh/notice_test.go
@@ -107,9 +107,18 @@
 // hideNewFields removes from the records of old builds what those do not know.
 func (s *site) hideNewFields(records []*wire.FleetRecord) {
 	for _, r := range records {
-		if v := s.vmNamed(world.NodeID(r.GetNode())); v != nil && v.isOldBuild && r.GetUpstream() != nil {
+		v := s.vmNamed(world.NodeID(r.GetNode()))
+		if v != nil && v.isOldBuild && r.GetUpstream() != nil {
 			r.Upstream.FollowsNotices = false
 		}
+		r.FollowsEras = r.GetFollowsEras() && !v.ignoresEras
+	}
+}
+
+// hideEras removes from evacuations what older builds do not know.
+func hideEras(w *wire.Evacuations) {
+	if w != nil {
+		w.Era, w.Lost, w.Confirmed = 0, nil, nil
 	}
 }
 
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -154,6 +154,9 @@
 	control   control
 	// isOldBuild means that the node's program does not read what upstreams say of themselves.
 	isOldBuild bool
+	// ignoresEras means that the node's program does not read the era in the store's answers and in messages of
+	// other nodes, nor sends one. It is set before the process starts.
+	ignoresEras bool
 }
 
 func newSite(c *qt.C, seed int64, domains int, services []service, routes []*table.Route, customers []*table.Customer, jobs map[world.RouteID]job) *site {
@@ -402,9 +405,17 @@
 	target := l.vm.site.vmAt(to)
 	sent := proto.Clone(req).(*wire.ExchangeRequest)
 	l.vm.site.hideNewFields(sent.GetRecords())
+	if target.ignoresEras {
+		sent.StoreEra = 0
+		hideEras(sent.GetEvacuations())
+	}
 	l.vm.site.sendOverLink(l.vm, l.life, target, func(answer func(func())) {
 		reply := proto.Clone(target.node.HandleExchange(sent)).(*wire.ExchangeReply)
 		l.vm.site.hideNewFields(reply.GetRecords())
+		if l.vm.ignoresEras {
+			reply.StoreEra = 0
+			hideEras(reply.GetEvacuations())
+		}
 		l.vm.control.count(sent, reply)
 		target.control.count(sent, reply)
 		answer(func() { done(reply, nil) })
@@ -839,13 +850,21 @@
 	o.disturbed = o.site.clock.Now()
 }
 
+// present returns the era that an answer to the node names.
+func (o *storeOf) present() era.Era {
+	if o.vm.ignoresEras {
+		return 0
+	}
+	return o.era
+}
+
 // answered returns an object as an answer shows it, with the present era.
-func (o *objects) answered(object mesh.Object) mesh.Object {
-	object.Revision.Era = o.era
+func (o *storeOf) answered(object mesh.Object) mesh.Object {
+	object.Revision.Era = o.present()
 	return object
 }
 
-func (o *objects) answeredAll(objects []mesh.Object) []mesh.Object {
+func (o *storeOf) answeredAll(objects []mesh.Object) []mesh.Object {
 	var list []mesh.Object
 	for _, object := range objects {
 		list = append(list, o.answered(object))
@@ -998,7 +1017,9 @@
 }
 
 // at returns a revision as an answer shows it.
-func (o *objects) at(number uint64) era.Revision { return era.Revision{Era: o.era, Number: number} }
+func (o *storeOf) at(number uint64) era.Revision {
+	return era.Revision{Era: o.present(), Number: number}
+}
 
 func (o *storeOf) Watch(kind mesh.Kind, from era.Revision, wait time.Duration, done func([]mesh.Object, era.Revision, error)) {
 	after := from.Number
@@ -1078,7 +1099,7 @@
 func (o *storeOf) Delete(kind mesh.Kind, name string, revision era.Revision, done func(era.Era, error)) {
 	o.call(func(answer func(func())) {
 		held, ok := o.kinds[kind][name]
-		at := o.era
+		at := o.present()
 		if !ok || held.Revision.Number != revision.Number {
 			answer(func() { done(at, store.ErrConflict) })
 			return
--- a/core/mesh/storeera_test.go
+++ b/core/mesh/storeera_test.go
@@ -152,11 +152,15 @@
 const configWithin = 2500 * time.Millisecond
 
 // TestTableUnderAReusedRevisionIsInstalled guards against a change that is never seen because the store, back from a
-// copy, gives it the revision from which the nodes watch.
+// copy, gives it the revision from which the nodes watch. Relays of an older build miss it, whatever the others do.
 func TestTableUnderAReusedRevisionIsInstalled(t *testing.T) {
-	for lost := range 4 {
-		t.Run(fmt.Sprintf("lost=%d", lost), func(t *testing.T) {
+	for run := range 8 {
+		lost, oldRelays := run/2, run%2 == 1
+		t.Run(fmt.Sprintf("lost=%d,oldRelays=%v", lost, oldRelays), func(t *testing.T) {
 			s := newTestSite(qt.New(t), 74)
+			for _, name := range s.relays() {
+				s.vmNamed(name).ignoresEras = oldRelays
+			}
 			s.run(4 * time.Second)
 			copied := s.store.clone()
 			s.raiseRevision(lost)
@@ -300,3 +304,37 @@
 	s.run(2 * time.Second)
 	c.Assert(s.entries(), qt.Equals, want)
 }
+
+// TestNodesBesideOldBuildsFollowTheReturnedStore guards against nodes that leave the store to relays of an older build,
+// which miss that it has come back from a copy, and against orders that these pass on.
+func TestNodesBesideOldBuildsFollowTheReturnedStore(t *testing.T) {
+	c := qt.New(t)
+	s := newColdSite(c, 81)
+	old := func(v *vm) bool { return v.name == s.relays()[v.domain] || v.name == "book-0" }
+	for _, v := range s.nodes {
+		v.ignoresEras = old(v)
+	}
+	s.run(3 * time.Second)
+	copied := s.store.clone()
+	s.raiseRevision(8)
+	s.store.change(mesh.KindEvacuation, mesh.Object{Name: "d1", Value: []byte("{}")})
+	s.run(2 * time.Second)
+	s.expectEvacuated("d1")
+	s.store.setDown(true)
+	s.run(storeAway)
+	s.store.returnFrom(copied)
+	s.store.writeTable(2)
+	s.store.change(mesh.KindEvacuation, mesh.Object{Name: "d1", Value: []byte("{}")})
+	s.store.setDown(false)
+	s.run(3 * time.Second)
+	s.store.change(mesh.KindEvacuation, mesh.Object{Name: "d1", IsDeleted: true})
+	s.store.change(mesh.KindEvacuation, mesh.Object{Name: "d2", Value: []byte("{}")})
+	s.store.writeTable(3)
+	s.run(evacuateWithin)
+	for _, v := range s.nodes {
+		if !old(v) {
+			c.Check(s.evacuatedAt(v), qt.DeepEquals, []string{"d2"}, qt.Commentf("at %s", v.name))
+		}
+	}
+	s.expectTable(3)
+}
