--- a/core/mesh/follow.go
+++ b/core/mesh/follow.go
@@ -220,6 +220,10 @@
 }
 
 func (f *follower) scheduleRetry(err error) {
+	if errors.Is(err, era.ErrOutdated) {
+		// A stale read may show an earlier era for some seconds.
+		f.consistency = ReadLatest
+	}
 	if f.relistsAfterFailure {
 		f.mustRelist, f.consistency = true, ReadLatest
 	}
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -18,9 +18,10 @@
 // levels.go. coldstart.go limits the calls to an upstream that has just started, notice.go and
 // noticeboard.go those to one that names a limit or leaves, evacuation.go those to the upstreams of
 // evacuated failure domains; usableslots.go tells other nodes what is left. departures.go keeps which
-// upstreams have left, departureack.go acknowledges that once others hold it. tokens.go reaches the homes of
-// customers' rates, sharing.go tells among which nodes these are divided. follow.go and announce.go read
-// and write the store, storeera.go tells what it answered before it came back from a copy; the objects that all nodes share are in sharedobject.go, quarantinestore.go and
+// upstreams have left, departureack.go acknowledges that once others hold it, departurerestore.go writes again
+// what the store has lost of it. tokens.go reaches the homes of customers' rates, sharing.go tells among which
+// nodes these are divided. follow.go and announce.go read and write the store, storeera.go drops what it answered
+// before it came back from a copy; the objects that all nodes share are in sharedobject.go, quarantinestore.go and
 // graphstore.go.
 //
 // The package opens no sockets and reads no system clock: a process passes real ones in, a test
--- a/core/mesh/storeera_test.go
+++ b/core/mesh/storeera_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"wagtailyoke/core/mesh"
 	"wagtailyoke/core/wire"
@@ -338,3 +340,109 @@
 	}
 	s.expectTable(3)
 }
+
+// operators are what operators have ordered in a simulated site. They write it again after the store has come back from a
+// copy.
+type operators struct {
+	site      *site
+	version   int
+	evacuated map[world.DomainID]bool
+	// isWritingAgain means that the operators have not repeated their lost orders yet.
+	isWritingAgain bool
+}
+
+func (o *operators) nextTable() {
+	o.version++
+	o.site.store.writeTable(o.version)
+}
+
+func (o *operators) toggle(domain world.DomainID) {
+	o.evacuated[domain] = !o.evacuated[domain]
+	if o.evacuated[domain] {
+		o.site.evacuate(domain)
+	} else {
+		o.site.takeBack(domain)
+	}
+}
+
+// writeAgain writes all orders that the store does not hold.
+func (o *operators) writeAgain() {
+	s := o.site
+	for _, domain := range slices.Sorted(maps.Keys(o.evacuated)) {
+		_, isHeld := s.store.kinds[mesh.KindEvacuation][string(domain)]
+		if isHeld != o.evacuated[domain] {
+			s.store.change(mesh.KindEvacuation, mesh.Object{Name: string(domain), Value: []byte("{}"), IsDeleted: isHeld})
+		}
+	}
+	if string(s.store.kinds[mesh.KindTable]["main"].Value) != fmt.Sprint(o.version) {
+		s.store.writeTable(o.version)
+	}
+	o.isWritingAgain = false
+}
+
+// TestReturnsUnderFaults draws returns of the store from copies of several ages, orders of operators, leaves with late
+// heartbeats, restarts and cuts. The upstreams check the rules. After the last fault all nodes follow the store.
+func TestReturnsUnderFaults(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		s := newColdSite(c, rapid.Int64Range(1, 1<<40).Draw(t, "seed"))
+		random := rand.New(rand.NewSource(rapid.Int64Range(1, 1<<40).Draw(t, "faults")))
+		o := &operators{site: s, version: 1, evacuated: map[world.DomainID]bool{}}
+		s.run(4 * time.Second)
+		s.offerAll(time.Minute, scaleRates(coldSiteRates, 0.1))
+		copies := []storeState{s.store.clone()}
+		for range rapid.IntRange(2, 10).Draw(t, "steps") {
+			v := s.nodes[random.Intn(len(s.nodes))]
+			switch random.Intn(7) {
+			case 0:
+				if !o.isWritingAgain {
+					o.toggle(v.domain)
+				}
+			case 1:
+				if !o.isWritingAgain {
+					o.nextTable()
+				}
+			case 2, 3:
+				s.store.setDown(true)
+				s.run(time.Duration(50+random.Intn(900)) * time.Millisecond)
+				s.store.returnFrom(copies[random.Intn(len(copies))])
+				s.store.setDown(false)
+				o.isWritingAgain = true
+				s.clock.After(time.Duration(random.Intn(2500))*time.Millisecond, o.writeAgain)
+			case 4:
+				if !v.up.isLeaving && !v.isDead {
+					late := v.lateHeartbeat()
+					v.leave(random.Intn(2) == 0, func(bool) {})
+					s.clock.After(time.Duration(random.Intn(5000))*time.Millisecond, late)
+				}
+			case 5:
+				if !v.isDead {
+					s.restartAfter(v.name, time.Duration(300+random.Intn(2000))*time.Millisecond)
+				}
+			case 6:
+				s.cutOff(v.domain)
+				s.clock.After(2*time.Second, func() { s.cut = map[[2]int]bool{} })
+			}
+			s.run(time.Duration(random.Intn(3000)) * time.Millisecond)
+			if copies = append(copies, s.store.clone()); len(copies) > 3 {
+				copies = copies[1:]
+			}
+		}
+		s.run(4 * time.Second)
+		o.writeAgain()
+		s.run(evacuateWithin)
+		s.expectTable(uint64(o.version))
+		var want []string
+		for _, domain := range slices.Sorted(maps.Keys(o.evacuated)) {
+			if o.evacuated[domain] {
+				want = append(want, string(domain))
+			}
+		}
+		s.expectEvacuated(want...)
+		for _, v := range s.nodes {
+			if !v.up.isLeaving && !v.isDead && !o.evacuated[v.domain] {
+				expectUpstream(c, v, true)
+			}
+		}
+	})
+}
