mesh: a late answer of an earlier era stores nothing; comments reworded

TestLateAnswerOfAnEarlierEraStoresNothing: the answer to a write arrives two seconds late, after the store's return. It fails if knowledge of an earlier era counts and late answers pass. The product code is unchanged but for comments.

--- a/core/mesh/departurerestore.go
+++ b/core/mesh/departurerestore.go
@@ -19,8 +19,8 @@
 )
 
 // departureRestorer writes departures again that the store has lost in coming back from a copy. Each node does so for
-// its own ones; the store watchers do for all nodes, because these may be down, or killed before they know. All other
-// nodes know their departures, but only until they are killed as well.
+// its own upstream. The store watchers do it for all nodes: one may be down or cut off, and a kill of all processes
+// would end those that still know its departures.
 type departureRestorer struct {
 	mu sync.Mutex
 	// era is that of the passes so far, cleanPasses the number of the last ones that found nothing missing.
--- a/core/mesh/sim_test.go
+++ b/core/mesh/sim_test.go
@@ -807,6 +807,8 @@
 	isDown  bool
 	// disturbed is the time of the last change of isDown.
 	disturbed time.Duration
+	// writeAnswerDelay is added to the answers to writes.
+	writeAnswerDelay time.Duration
 	// losesWrites applies writes but reports them as failed.
 	losesWrites bool
 	// losesWatches makes watches miss all changes and fail a while after their wait.
@@ -1091,7 +1093,7 @@
 				o.site.clock.After(time.Second, func() { answer(func() { done(mesh.Object{}, store.ErrUnavailable) }) })
 				return
 			}
-			answer(func() { done(object, nil) })
+			o.site.clock.After(o.writeAnswerDelay, func() { answer(func() { done(object, nil) }) })
 		}
 	}, func(err error) { done(mesh.Object{}, err) })
 }
--- a/core/mesh/storeera.go
+++ b/core/mesh/storeera.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// handleNewEra acts on it that the store has come back from a copy: it tells the other nodes and writes again what the
-// store may have lost.
+// handleNewEra is called once for each return of the store from a copy. It tells the other nodes and writes again what
+// the store may have lost.
 func (n *Node) handleNewEra(e era.Era, source string) {
 	n.Events.Log(event.StoreEraChanged, event.Field{Name: "era", Value: e}, event.Field{Name: "source", Value: source})
 	n.exchangeSoon()
--- a/core/mesh/storeera_test.go
+++ b/core/mesh/storeera_test.go
@@ -256,6 +256,28 @@
 	}
 }
 
+// TestLateAnswerOfAnEarlierEraStoresNothing guards against a departure that counts as stored because the answer to its
+// write arrives after the store has come back from a copy without it. No other node knows the departure.
+func TestLateAnswerOfAnEarlierEraStoresNothing(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSite(c, 83)
+	v := s.vmNamed("gate-1")
+	s.run(4 * time.Second)
+	s.isolate(v)
+	s.run(2 * time.Second)
+	copied := s.store.clone()
+	s.store.writeAnswerDelay = 2 * time.Second
+	v.leave(false, func(bool) {})
+	s.run(100 * time.Millisecond)
+	s.store.writeAnswerDelay = 0
+	c.Assert(s.store.kinds[mesh.KindDeparture], qt.HasLen, 1)
+	s.storeReturns(copied)
+	s.run(time.Second)
+	c.Assert(s.store.kinds[mesh.KindDeparture], qt.HasLen, 0)
+	s.run(3 * time.Second)
+	c.Assert(s.store.kinds[mesh.KindDeparture], qt.HasLen, 1)
+}
+
 // TestBanOutlivesTheStoresReturn guards against a ban that no node writes again after the store has come back from a
 // copy without it: once all processes are killed, the request crashes further upstreams.
 func TestBanOutlivesTheStoresReturn(t *testing.T) {
